--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,607 @@
+// Package core owns the request table: every request that an owner has handed
+// in and every task that stands, from their first message to their last. It
+// turns what happened into events of the decision module, and the module's
+// actions into offers, answers and releases. It knows no wire and no socket,
+// and it reads no clock: the time is passed in.
+//
+// The invariants hold here, whatever a front, a node or the module does: one
+// final answer for each request, one attempt out at a time, no offer after the
+// end, none to a node past the drain limit, and at most one start of a task
+// that must not run twice. Nothing here may block, and nothing but this package
+// may decide that a request is over.
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"strconv"
+
+	"merlintide"
+)
+
+const (
+	// headroom is taken off an owner's wait: an answer travels back before it ends.
+	headroom = 10_000
+	// cutWait is how long a node has to tell the end of a task that was released or
+	// moved before it is taken as told.
+	cutWait = 700_000
+	// orphanAfter is how long a task may stand on a node that is on no list.
+	orphanAfter = 3_000_000
+	sweepEvery  = 500_000
+	// drainMargin is how long before the drain limit offers end here.
+	drainMargin = 500_000
+)
+
+// Setup is what an owner asks for. Description is opaque.
+type Setup struct {
+	Tag, Class, Key string
+	WaitUs          int64 // how long the owner waits from now on
+	Cores, Mem      float64
+	Service         uint64
+	At              string // the node that holds the task already, or ""
+	Description     string
+}
+
+// AnswerKind is what an owner is told.
+type AnswerKind int
+
+// The answers. Started, Refused and Failed are final answers to a set-up, Over
+// and Moved end a task that stands.
+const (
+	Started AnswerKind = iota
+	Refused
+	Failed
+	Over
+	Moved
+)
+
+// Answer is what an owner is told of its task.
+type Answer struct {
+	Kind        AnswerKind
+	Tag         string
+	Description string            // Started: what the node gave
+	WaitUs      int64             // Refused: how long to stay away
+	Status      merlintide.Status // Over: how the task ended
+	Why         merlintide.Why    // Refused, Over: the reason, where one was told
+	Node        string            // Started: where it stands
+}
+
+// Owner is told the answers to the requests that it handed in.
+type Owner interface {
+	Answer(a Answer)
+}
+
+// Offer is an attempt as a node gets it.
+type Offer struct {
+	Tag, Class, Key string
+	WaitUs          int64
+	Description     string
+}
+
+// Nodes carries offers to nodes. What comes of them is told with NodeStarted,
+// NodeEnded, NodeNote and NodeSampled, never from within these calls.
+type Nodes interface {
+	Offer(node string, o Offer)
+	// GiveUp withdraws an offer that was not answered.
+	GiveUp(node, tag string)
+	// Release ends a task that stands.
+	Release(node, tag string)
+	Probe(node string)
+}
+
+type state int
+
+const (
+	waiting  state = iota // no attempt is out
+	out                   // an attempt is out
+	standing              // the node has said yes
+	leaving               // released or moved; the node's word is awaited
+	gone                  // its owner gave it up
+)
+
+// request is one request, or one task that stands.
+type request struct {
+	Setup
+	owner    Owner
+	state    state
+	deadline int64
+	effect   merlintide.Effect
+	attempts int
+	sentAt   int64
+	abandon  int64
+	node     string
+	mayRun   bool // an attempt may have started
+	lostAt   int64
+	due      int64 // when the core itself acts, or 0
+	index    int   // in the heap
+}
+
+// Counts are what the core has seen so far.
+type Counts struct {
+	Requests, Started, Refused, Failed, Over, Moved, Withdrawn, Opened int64
+	Offers, TimedOut, ConnectFailed, Full, Reset, Guarded              int64
+}
+
+// Core is the request table round one decision module. It is not safe for
+// concurrent use.
+type Core struct {
+	placer  *merlintide.Placer
+	set     merlintide.Settings
+	effects map[string]merlintide.Effect
+	nodes   Nodes
+	log     *slog.Logger
+	now     int64
+	reqs    map[string]*request
+	due     dues
+	bells   bells
+	events  []merlintide.Event
+	told    map[string]int64 // when a node was told to drain or to be gone
+	listed  map[string]bool
+	channel bool // the list is followed
+	observe bool // the module waits for the list
+	sweepAt int64
+	counts  Counts
+}
+
+// New returns a core that decides with a new module.
+func New(s merlintide.Settings, seed uint64, nodes Nodes, log *slog.Logger) (*Core, error) {
+	p, err := merlintide.New(s, seed)
+	if err != nil {
+		return nil, fmt.Errorf("core: %w", err)
+	}
+	c := &Core{placer: p, set: s, effects: map[string]merlintide.Effect{}, nodes: nodes, log: log,
+		reqs: map[string]*request{}, told: map[string]int64{}, listed: map[string]bool{}}
+	for _, k := range s.Classes {
+		c.effects[k.Name] = k.Effect
+	}
+	return c, nil
+}
+
+// Counts returns what was seen so far.
+func (c *Core) Counts() Counts { return c.counts }
+
+// Open is how many requests are owed an answer.
+func (c *Core) Open() (n int) {
+	for _, r := range c.reqs {
+		if r.state == waiting || r.state == out {
+			n++
+		}
+	}
+	return n
+}
+
+// Standing is how many tasks stand.
+func (c *Core) Standing() (n int) {
+	for _, r := range c.reqs {
+		if r.state == standing {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Core) event(e merlintide.Event) { c.events = append(c.events, e) }
+
+// number turns a name into the module's number for it.
+func number(name string) uint64 {
+	if v, err := strconv.ParseUint(name, 16, 64); err == nil {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// --- From owners ---
+
+// Submit takes in a set-up. It reports false where the tag is in use: such a
+// set-up can't be answered without a second answer to the first.
+func (c *Core) Submit(now int64, o Owner, s Setup) bool {
+	c.now = now
+	if r := c.reqs[s.Tag]; r != nil {
+		if s.At == "" {
+			return false
+		}
+		c.reopen(r, o, s)
+		return true
+	}
+	effect, ok := c.effects[s.Class]
+	if !ok {
+		effect = merlintide.Unsafe
+	}
+	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1}
+	c.reqs[s.Tag] = r
+	task := merlintide.Task{Ticket: s.Tag, Workload: number(s.Key), DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
+		Class: s.Class, Program: s.Service}
+	if s.At != "" {
+		c.counts.Opened++
+		r.state, r.node, r.mayRun = standing, s.At, true
+		c.event(merlintide.Existing{Task: task, Machine: s.At})
+		return true
+	}
+	c.counts.Requests++
+	c.event(merlintide.Request{Task: task})
+	c.arm(r, r.deadline)
+	return true
+}
+
+// reopen takes a task found running whose tag is known here. The node's word
+// came another way; what the table holds of it goes on.
+func (c *Core) reopen(r *request, o Owner, s Setup) {
+	if r.state == standing || r.state == leaving {
+		r.owner = o
+		return
+	}
+	c.log.Warn("a task found running is known here as not standing", "tag", s.Tag, "node", s.At)
+}
+
+// Withdraw takes an owner's word that it no longer wants a task, whether that
+// still waits for its answer or stands. No answer is owed then.
+func (c *Core) Withdraw(now int64, tag string) {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil {
+		return
+	}
+	switch r.state {
+	case waiting, out:
+		c.counts.Withdrawn++
+		c.event(merlintide.ClientGone{Ticket: tag})
+		if r.state == out {
+			c.nodes.GiveUp(r.node, tag)
+			c.done(r, merlintide.Cancelled, merlintide.WhyUntold, true)
+		}
+		c.forget(r)
+	case standing:
+		c.counts.Withdrawn++
+		c.nodes.Release(r.node, tag)
+		r.state = leaving
+		c.arm(r, now+cutWait)
+	}
+}
+
+// --- From nodes ---
+
+// NodeStarted takes a node's word that a task stands. A word on an attempt
+// that was given up changes nothing: its owner got another answer, or will.
+func (c *Core) NodeStarted(now int64, node, tag, description string) {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil || r.state != out || r.node != node {
+		return
+	}
+	r.state, r.mayRun = standing, true
+	c.counts.Started++
+	c.disarm(r)
+	c.event(merlintide.Accepted{Ticket: tag, Attempt: r.attempts - 1, Machine: node, RTTUs: now - r.sentAt})
+	r.owner.Answer(Answer{Kind: Started, Tag: tag, Description: description, Node: node})
+}
+
+// NodeEnded takes the end of an attempt or of a task that stands.
+func (c *Core) NodeEnded(now int64, node, tag string, st merlintide.Status, why merlintide.Why) {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil || r.node != node {
+		return
+	}
+	switch r.state {
+	case out:
+		switch st {
+		case merlintide.OK, merlintide.Cancelled:
+			st = merlintide.Reset
+		}
+		c.ended(r, st, why)
+	case standing, leaving:
+		switch st {
+		case merlintide.OK, merlintide.Cancelled, merlintide.Reset:
+		default:
+			st = merlintide.Reset
+		}
+		c.over(r, st, why)
+	}
+}
+
+// ended is the end of an attempt that was not answered with yes.
+func (c *Core) ended(r *request, st merlintide.Status, why merlintide.Why) {
+	switch st {
+	case merlintide.Full:
+		c.counts.Full++
+	case merlintide.ConnectFailed:
+		c.counts.ConnectFailed++
+	case merlintide.Moot:
+	case merlintide.TimedOut:
+		c.counts.TimedOut++
+		r.mayRun = true
+	default:
+		c.counts.Reset++
+		r.mayRun = true
+	}
+	r.state = waiting
+	c.done(r, st, why, false)
+	c.arm(r, r.deadline)
+}
+
+// over is the end of a task that stood. Its owner is told, but where it asked
+// for the end itself.
+func (c *Core) over(r *request, st merlintide.Status, why merlintide.Why) {
+	c.done(r, st, why, true)
+	if r.state == standing && st != merlintide.Cancelled {
+		c.counts.Over++
+		r.owner.Answer(Answer{Kind: Over, Tag: r.Tag, Status: st, Why: why})
+	}
+	c.forget(r)
+}
+
+func (c *Core) done(r *request, st merlintide.Status, why merlintide.Why, closed bool) {
+	c.event(merlintide.Done{Ticket: r.Tag, Attempt: max(0, r.attempts-1), Machine: r.node, Status: st, Why: why,
+		Closed: closed, RTTUs: c.now - r.sentAt})
+}
+
+// NodeNote takes news of a task that stands.
+func (c *Core) NodeNote(now int64, node, tag string, kind merlintide.NoteKind, value float64) {
+	c.now = now
+	if r := c.reqs[tag]; r != nil && r.node == node && r.state == standing {
+		c.event(merlintide.Note{Ticket: tag, Attempt: max(0, r.attempts-1), Machine: node, Kind: kind, Value: value})
+	}
+}
+
+// NodeSampled takes the answer to a probe.
+func (c *Core) NodeSampled(now int64, e merlintide.Sampled) {
+	c.now = now
+	c.event(e)
+}
+
+// NodeLost takes a proof that the process of a node has died: what stood there
+// is cut, and nobody will tell.
+func (c *Core) NodeLost(now int64, node string) {
+	c.now = now
+	for _, r := range c.sorted() {
+		if r.node == node && (r.state == standing || r.state == leaving) {
+			c.over(r, merlintide.Reset, merlintide.WhyUntold)
+		}
+	}
+}
+
+// List takes what the command channel told of the nodes.
+func (c *Core) List(now int64, l merlintide.List) {
+	c.now = now
+	c.channel = true
+	if l.Kind == merlintide.ListFull || l.Kind == merlintide.ListCached {
+		clear(c.listed)
+	}
+	for _, e := range l.Entries {
+		c.listed[e.Machine] = e.State != merlintide.Gone
+		if e.State == merlintide.Ready {
+			delete(c.told, e.Machine)
+		} else if _, ok := c.told[e.Machine]; !ok {
+			c.told[e.Machine] = now
+		}
+	}
+	c.event(l)
+}
+
+// --- Turns ---
+
+// Next is when Turn has to be called next, or 0.
+func (c *Core) Next() int64 {
+	at := int64(0)
+	sooner := func(t int64) {
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	if len(c.due) > 0 {
+		sooner(c.due[0].due)
+	}
+	if len(c.bells) > 0 {
+		sooner(c.bells[0].at)
+	}
+	if len(c.events) > 0 {
+		sooner(c.now)
+	}
+	return at
+}
+
+// Turn hands what happened to the module in one go and carries out what it
+// answers.
+func (c *Core) Turn(now int64) {
+	c.now = now
+	for len(c.due) > 0 && c.due[0].due <= now {
+		c.expire(c.due[0])
+	}
+	for len(c.bells) > 0 && c.bells[0].at <= now {
+		b := heap.Pop(&c.bells).(bell)
+		c.event(merlintide.Bell{Ref: b.ref})
+	}
+	if now >= c.sweepAt {
+		c.sweepAt = now + sweepEvery
+		c.sweep()
+	}
+	if c.observe && c.channel {
+		// The channel is followed without being asked; the module is told that it is.
+		c.observe = false
+		c.event(merlintide.List{Kind: merlintide.ListDelta})
+	}
+	if len(c.events) == 0 {
+		return
+	}
+	events := c.events
+	c.events = nil
+	for _, a := range c.placer.Handle(now, events) {
+		c.act(a)
+	}
+}
+
+// expire acts on a time that has come.
+func (c *Core) expire(r *request) {
+	c.disarm(r)
+	switch r.state {
+	case out:
+		// The node is told before anything else may go out for this request.
+		c.nodes.GiveUp(r.node, r.Tag)
+		c.ended(r, merlintide.TimedOut, merlintide.WhyUntold)
+		if c.now >= r.deadline {
+			// The module answers within this turn; else the next turn does.
+			c.arm(r, c.now+1)
+		}
+	case waiting:
+		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
+		c.event(merlintide.ClientGone{Ticket: r.Tag})
+		c.finish(r, 0)
+	case leaving:
+		c.nodes.Release(r.node, r.Tag)
+		c.over(r, merlintide.Cancelled, merlintide.WhyUntold)
+	}
+}
+
+// sweep ends tasks on nodes that no list names any more. It guards against
+// tasks left standing for ever where a node vanished without a word.
+func (c *Core) sweep() {
+	if !c.channel {
+		return
+	}
+	for _, r := range c.sorted() {
+		if r.state != standing || c.listed[r.node] {
+			r.lostAt = 0
+			continue
+		}
+		if r.lostAt == 0 {
+			r.lostAt = c.now
+		}
+		if c.now-r.lostAt >= orphanAfter {
+			c.log.Info("a task stood on a node that left the list", "tag", r.Tag, "node", r.node)
+			c.nodes.Release(r.node, r.Tag)
+			c.over(r, merlintide.Reset, merlintide.WhyUntold)
+		}
+	}
+}
+
+// act carries out one action of the module.
+func (c *Core) act(a merlintide.Action) {
+	switch a := a.(type) {
+	case merlintide.Place:
+		if r := c.reqs[a.Ticket]; r != nil {
+			c.place(r, a)
+		}
+	case merlintide.Deny:
+		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
+			c.finish(r, a.RetryInUs)
+		}
+	case merlintide.Error:
+		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
+			r.mayRun = true
+			c.fail(r)
+		}
+	case merlintide.Move:
+		if r := c.reqs[a.Ticket]; r != nil && r.state == standing {
+			c.counts.Moved++
+			r.owner.Answer(Answer{Kind: Moved, Tag: r.Tag})
+			c.nodes.Release(r.node, r.Tag)
+			r.state = leaving
+			c.arm(r, c.now+cutWait)
+		}
+	case merlintide.Cancel:
+		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.attempts-1 {
+			c.nodes.GiveUp(r.node, r.Tag)
+			c.ended(r, merlintide.Cancelled, merlintide.WhyUntold)
+		}
+	case merlintide.AskLoad:
+		c.nodes.Probe(a.Machine)
+	case merlintide.Observe:
+		c.observe = a.Active
+	case merlintide.Refresh:
+		c.observe = true
+	case merlintide.SetAlarm:
+		heap.Push(&c.bells, bell{c.now + a.OffsetUs, a.Ref})
+	case merlintide.SayLog:
+		c.log.Info("module", "text", a.Text)
+	}
+}
+
+// place sends an offer, if no invariant stands against it.
+func (c *Core) place(r *request, a merlintide.Place) {
+	guard := ""
+	told, draining := c.told[a.Machine]
+	switch {
+	case r.state != waiting:
+		guard = "an attempt is out or the request is over"
+	case c.now >= r.deadline:
+		guard = "its time is up"
+	case c.set.AttemptsCap > 0 && r.attempts >= c.set.AttemptsCap:
+		guard = "no attempts are left"
+	case r.effect == merlintide.Unsafe && r.mayRun:
+		guard = "it may have started and must not start twice"
+	case draining && c.now >= told+max(0, c.set.DrainGraceUs-drainMargin):
+		guard = "the node drains"
+	}
+	if guard != "" {
+		c.counts.Guarded++
+		c.log.Error("the module's offer was held back", "tag", r.Tag, "node", a.Machine, "why", guard)
+		c.event(merlintide.Done{Ticket: r.Tag, Attempt: r.attempts, Machine: a.Machine, Status: merlintide.Moot})
+		r.attempts++
+		return
+	}
+	c.counts.Offers++
+	r.state, r.node, r.sentAt = out, a.Machine, c.now
+	r.attempts++
+	r.abandon = r.deadline
+	if a.AbandonAtUs > 0 {
+		r.abandon = min(r.deadline, max(a.AbandonAtUs, c.now+1))
+	}
+	c.arm(r, r.abandon)
+	c.nodes.Offer(a.Machine, Offer{Tag: r.Tag, Class: r.Class, Key: r.Key, WaitUs: r.abandon - c.now,
+		Description: r.Description})
+}
+
+// finish answers a request that was given up: refused where a retry is
+// harmless, else failed.
+func (c *Core) finish(r *request, retry int64) {
+	if r.mayRun && r.effect != merlintide.Safe {
+		c.fail(r)
+		return
+	}
+	c.withdraw(r)
+	c.counts.Refused++
+	r.owner.Answer(Answer{Kind: Refused, Tag: r.Tag, WaitUs: retry})
+	c.forget(r)
+}
+
+func (c *Core) fail(r *request) {
+	c.withdraw(r)
+	c.counts.Failed++
+	r.owner.Answer(Answer{Kind: Failed, Tag: r.Tag})
+	c.forget(r)
+}
+
+// withdraw gives up an attempt that is still out at the end of its request.
+func (c *Core) withdraw(r *request) {
+	if r.state == out {
+		c.nodes.GiveUp(r.node, r.Tag)
+		c.done(r, merlintide.Cancelled, merlintide.WhyUntold, true)
+	}
+}
+
+// forget is the one place where a request leaves the table.
+func (c *Core) forget(r *request) {
+	c.disarm(r)
+	r.state = gone
+	if c.reqs[r.Tag] == r {
+		delete(c.reqs, r.Tag)
+	}
+}
+
+// Quit answers whatever is still open; used when the program has to end.
+func (c *Core) Quit(now int64) {
+	c.now = now
+	for _, r := range c.sorted() {
+		if r.state == waiting || r.state == out {
+			if r.state == out {
+				r.mayRun = true
+			}
+			c.finish(r, 0)
+		}
+	}
+	c.events = nil
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,601 @@
+// Package loop owns the epoll descriptor, every socket, their buffers, the
+// timers and the descriptor budget. One goroutine runs it; nothing else may
+// touch what it owns, except through [Loop.Post]. It knows no protocol and must
+// never block: not on a socket, not on another goroutine. A descriptor is given
+// back in one place only, [Loop.reap].
+package loop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The errors that a Handler may be told of.
+var (
+	ErrTimeout  = errors.New("loop: connection not established in time")
+	ErrEOF      = errors.New("loop: closed by the other side")
+	ErrOverflow = errors.New("loop: the other side does not read")
+	ErrBudget   = errors.New("loop: no descriptor left in the budget")
+)
+
+const (
+	readSize   = 64 << 10
+	readsATurn = 4 // reads of one connection before others have their turn
+	outMost    = 4 << 20
+	eventsMost = 256
+)
+
+// Handler is what a connection tells its user. Data returns how much of the
+// bytes gathered so far it has used; the rest comes again with what follows.
+// Closed is called once for every connection, also for one that never opened,
+// unless its user closed it.
+type Handler interface {
+	Opened(c *Conn)
+	Data(c *Conn, b []byte) (used int, err error)
+	Closed(c *Conn, err error)
+}
+
+// Conn is a connection of the loop.
+type Conn struct {
+	l       *Loop
+	fd      int
+	h       Handler
+	in, out []byte
+	up      bool // established
+	closed  bool
+	dirty   bool // has bytes that this turn will try to write
+	paused  bool // not read from
+	mask    uint32
+	taken   int64 // bytes handed to Write
+	given   int64 // bytes that the system has accepted
+	dial    *Timer
+}
+
+// Timer is a call to come.
+type Timer struct {
+	at   int64
+	f    func()
+	i    int
+	dead bool
+}
+
+// Stop lets go of the timer.
+func (t *Timer) Stop() {
+	if t != nil {
+		t.dead, t.f = true, nil
+	}
+}
+
+type timers []*Timer
+
+func (h timers) Len() int           { return len(h) }
+func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timers) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timers) Push(x any)        { *h = append(*h, x.(*Timer)) }
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return t
+}
+
+// listener is a listening socket.
+type listener struct {
+	fd     int
+	accept func() Handler
+	room   func() bool
+	off    bool
+}
+
+// Loop is one epoll loop.
+type Loop struct {
+	ep, wake  int
+	conns     map[int]*Conn
+	listeners map[int]*listener
+	dead      []*Conn
+	dirty     []*Conn
+	timers    timers
+	now       int64
+	budget    int
+	held      int
+	buf       []byte
+	again     bool
+	stop      bool
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New returns a loop that holds at most budget sockets.
+func New(budget int) (*Loop, error) {
+	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("loop: epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		unix.Close(ep)
+		return nil, fmt.Errorf("loop: eventfd: %w", err)
+	}
+	l := &Loop{ep: ep, wake: wake, conns: map[int]*Conn{}, listeners: map[int]*listener{},
+		budget: budget, buf: make([]byte, readSize)}
+	l.tick()
+	if err := l.watch(wake, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
+		unix.Close(ep)
+		unix.Close(wake)
+		return nil, err
+	}
+	return l, nil
+}
+
+// tick reads the clock, which never goes back for users of the loop.
+func (l *Loop) tick() { l.now = max(l.now, time.Now().UnixMicro()) }
+
+// Now is the Unix time of this turn, in microseconds.
+func (l *Loop) Now() int64 { return l.now }
+
+// Free is how many sockets may still be opened.
+func (l *Loop) Free() int { return l.budget - l.held }
+
+// Again makes the loop take another turn without waiting.
+func (l *Loop) Again() { l.again = true }
+
+// Stop ends Run after this turn.
+func (l *Loop) Stop() { l.stop = true }
+
+// Post hands f to the loop from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, f)
+	l.mu.Unlock()
+	var one = [8]byte{1}
+	// A full counter means that a wake-up is under way already.
+	_, _ = unix.Write(l.wake, one[:])
+}
+
+// At calls f once the clock has reached at.
+func (l *Loop) At(at int64, f func()) *Timer {
+	t := &Timer{at: at, f: f}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// After calls f in so many microseconds.
+func (l *Loop) After(us int64, f func()) *Timer { return l.At(l.now+us, f) }
+
+func (l *Loop) watch(fd int, mask uint32, op int) error {
+	if err := unix.EpollCtl(l.ep, op, fd, &unix.EpollEvent{Events: mask, Fd: int32(fd)}); err != nil {
+		return fmt.Errorf("loop: epoll_ctl: %w", err)
+	}
+	return nil
+}
+
+func sockaddr(addr string) (int, unix.Sockaddr, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return 0, nil, fmt.Errorf("loop: address %.60q: %w", addr, err)
+	}
+	if ap.Addr().Unmap().Is4() {
+		return unix.AF_INET, &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().Unmap().As4()}, nil
+	}
+	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, nil
+}
+
+// Listen accepts connections at addr, each with a Handler of its own. room is
+// asked before each whether there is a place for it; where it says no, callers
+// wait in the system's queue.
+func (l *Loop) Listen(addr string, room func() bool, accept func() Handler) (string, error) {
+	family, sa, err := sockaddr(addr)
+	if err != nil {
+		return "", err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", fmt.Errorf("loop: listen %s: %w", addr, err)
+	}
+	fail := func(err error) (string, error) {
+		unix.Close(fd)
+		return "", fmt.Errorf("loop: listen %s: %w", addr, err)
+	}
+	// A restart takes the address over while old connections still linger.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return fail(err)
+	}
+	if err := unix.Bind(fd, sa); err != nil {
+		return fail(err)
+	}
+	if err := unix.Listen(fd, 1024); err != nil {
+		return fail(err)
+	}
+	if err := l.watch(fd, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
+		return fail(err)
+	}
+	l.listeners[fd] = &listener{fd: fd, accept: accept, room: room}
+	l.held++
+	if got, err := unix.Getsockname(fd); err == nil {
+		if v4, ok := got.(*unix.SockaddrInet4); ok {
+			addr = netip.AddrPortFrom(netip.AddrFrom4(v4.Addr), uint16(v4.Port)).String()
+		}
+	}
+	return addr, nil
+}
+
+// CloseListeners stops accepting.
+func (l *Loop) CloseListeners() {
+	for fd := range l.listeners {
+		unix.Close(fd)
+		l.held--
+		delete(l.listeners, fd)
+	}
+}
+
+func (l *Loop) acceptAll(ln *listener) {
+	for range eventsMost {
+		if l.Free() <= 0 || !ln.room() {
+			l.mute(ln)
+			return
+		}
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EINTR, unix.ECONNABORTED:
+			continue
+		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+			l.mute(ln)
+			return
+		default:
+			return
+		}
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c := &Conn{l: l, fd: fd, h: ln.accept(), up: true, mask: unix.EPOLLIN | unix.EPOLLRDHUP}
+		if err := l.watch(fd, c.mask, unix.EPOLL_CTL_ADD); err != nil {
+			unix.Close(fd)
+			c.closed = true
+			c.h.Closed(c, err)
+			continue
+		}
+		l.conns[fd] = c
+		l.held++
+		c.h.Opened(c)
+	}
+}
+
+// mute leaves callers in the system's queue for a while: a listener that stays
+// ready while there is no room would keep the loop spinning.
+func (l *Loop) mute(ln *listener) {
+	if ln.off {
+		return
+	}
+	ln.off = true
+	_ = l.watch(ln.fd, 0, unix.EPOLL_CTL_MOD)
+	l.After(20_000, func() {
+		if l.listeners[ln.fd] == ln {
+			ln.off = false
+			_ = l.watch(ln.fd, unix.EPOLLIN, unix.EPOLL_CTL_MOD)
+		}
+	})
+}
+
+// Dial starts a connection. It reports failure to start at once; whatever comes
+// later is told to h.
+func (l *Loop) Dial(addr string, timeoutUs int64, h Handler) (*Conn, error) {
+	if l.Free() <= 0 {
+		return nil, ErrBudget
+	}
+	family, sa, err := sockaddr(addr)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("loop: dial %s: %w", addr, err)
+	}
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
+		unix.Close(fd)
+		return nil, fmt.Errorf("loop: dial %s: %w", addr, err)
+	}
+	c := &Conn{l: l, fd: fd, h: h, mask: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP}
+	if err := l.watch(fd, c.mask, unix.EPOLL_CTL_ADD); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	l.conns[fd] = c
+	l.held++
+	c.dial = l.After(timeoutUs, func() {
+		if !c.up {
+			c.fail(ErrTimeout)
+		}
+	})
+	return c, nil
+}
+
+// Up reports whether the connection is established and not closed.
+func (c *Conn) Up() bool { return c != nil && c.up && !c.closed }
+
+// Gone reports whether the connection is closed.
+func (c *Conn) Gone() bool { return c == nil || c.closed }
+
+// Taken is the count of bytes handed to Write so far; Given is how many of them
+// the system has accepted. What was not given has not reached the other side.
+func (c *Conn) Taken() int64 { return c.taken }
+
+// Given is described at Taken.
+func (c *Conn) Given() int64 { return c.given }
+
+// Pause stops reading from the connection.
+func (c *Conn) Pause() {
+	c.paused = true
+	c.arm()
+}
+
+// Write queues b, which is copied; the bytes go out at the end of the turn.
+func (c *Conn) Write(b []byte) {
+	if c.closed {
+		return
+	}
+	c.taken += int64(len(b))
+	c.out = append(c.out, b...)
+	if !c.dirty {
+		c.dirty = true
+		c.l.dirty = append(c.l.dirty, c)
+	}
+}
+
+// Close ends the connection; its Handler is not told.
+func (c *Conn) Close() {
+	if c.closed {
+		return
+	}
+	c.flush()
+	c.drop()
+}
+
+func (c *Conn) drop() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.dial.Stop()
+	c.l.dead = append(c.l.dead, c)
+}
+
+func (c *Conn) fail(err error) {
+	if c.closed {
+		return
+	}
+	c.drop()
+	c.h.Closed(c, err)
+	c.l.again = true
+}
+
+// reap gives descriptors back. It runs after all events of a turn were told,
+// so that a number in use again is not taken for the old connection.
+func (l *Loop) reap() {
+	for _, c := range l.dead {
+		delete(l.conns, c.fd)
+		unix.Close(c.fd)
+		l.held--
+		c.in, c.out = nil, nil
+	}
+	l.dead = l.dead[:0]
+}
+
+func (c *Conn) arm() {
+	if c.closed {
+		return
+	}
+	mask := uint32(unix.EPOLLRDHUP)
+	if !c.paused {
+		mask |= unix.EPOLLIN
+	} else {
+		mask = 0
+	}
+	if len(c.out) > 0 || !c.up {
+		mask |= unix.EPOLLOUT
+	}
+	if mask != c.mask {
+		c.mask = mask
+		_ = c.l.watch(c.fd, mask, unix.EPOLL_CTL_MOD)
+	}
+}
+
+// flush writes what it can. It returns the error that ends the connection.
+func (c *Conn) flush() error {
+	for c.up && !c.closed && len(c.out) > 0 {
+		n, err := unix.Write(c.fd, c.out)
+		if n > 0 {
+			c.given += int64(n)
+			c.out = c.out[:copy(c.out, c.out[n:])]
+		}
+		switch err {
+		case nil, unix.EINTR:
+		case unix.EAGAIN:
+			if len(c.out) > outMost {
+				return ErrOverflow
+			}
+			c.arm()
+			return nil
+		default:
+			return fmt.Errorf("loop: write: %w", err)
+		}
+	}
+	if len(c.out) > outMost {
+		return ErrOverflow
+	}
+	if len(c.out) == 0 && cap(c.out) > readSize {
+		c.out = nil
+	}
+	c.arm()
+	return nil
+}
+
+func (c *Conn) ready(events uint32) {
+	if !c.up {
+		code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err == nil && code != 0 {
+			err = unix.Errno(code)
+		}
+		if err != nil {
+			c.fail(fmt.Errorf("loop: connect: %w", err))
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			return
+		}
+		c.up = true
+		c.dial.Stop()
+		c.h.Opened(c)
+		if c.closed {
+			return
+		}
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		if err := c.read(); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+	if events&unix.EPOLLOUT != 0 {
+		if err := c.flush(); err != nil {
+			c.fail(err)
+		}
+	}
+}
+
+func (c *Conn) read() error {
+	for i := 0; i < readsATurn && !c.closed && !c.paused; i++ {
+		n, err := unix.Read(c.fd, c.l.buf)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return nil
+		case err != nil:
+			return fmt.Errorf("loop: read: %w", err)
+		case n == 0:
+			return ErrEOF
+		}
+		b := c.l.buf[:n]
+		if len(c.in) > 0 {
+			c.in = append(c.in, b...)
+			b = c.in
+		}
+		used, err := c.h.Data(c, b)
+		if err != nil {
+			return err
+		}
+		if c.closed {
+			return nil
+		}
+		c.in = append(c.in[:0], b[used:]...)
+		if len(c.in) == 0 && cap(c.in) > readSize {
+			c.in = nil
+		}
+		if n < len(c.l.buf) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// Run takes turns until Stop. In each it gathers what is ready, calls turn once
+// to decide on all of it, and writes what came of that.
+func (l *Loop) Run(turn func(now int64)) error {
+	events := make([]unix.EpollEvent, eventsMost)
+	for !l.stop {
+		n, err := unix.EpollWait(l.ep, events, l.timeout())
+		if err != nil && err != unix.EINTR {
+			return fmt.Errorf("loop: epoll_wait: %w", err)
+		}
+		l.again = false
+		l.tick()
+		for _, e := range events[:max(0, n)] {
+			fd := int(e.Fd)
+			switch {
+			case fd == l.wake:
+				var b [8]byte
+				_, _ = unix.Read(l.wake, b[:])
+			case l.listeners[fd] != nil:
+				l.acceptAll(l.listeners[fd])
+			default:
+				if c := l.conns[fd]; c != nil && !c.closed {
+					c.ready(e.Events)
+				}
+			}
+		}
+		l.mu.Lock()
+		posted := l.posted
+		l.posted = nil
+		l.mu.Unlock()
+		for _, f := range posted {
+			f()
+		}
+		l.due()
+		turn(l.now)
+		l.flushAll()
+		l.reap()
+	}
+	return nil
+}
+
+func (l *Loop) flushAll() {
+	for i := 0; i < len(l.dirty); i++ {
+		c := l.dirty[i]
+		c.dirty = false
+		if c.closed {
+			continue
+		}
+		if err := c.flush(); err != nil {
+			c.fail(err)
+		}
+	}
+	l.dirty = l.dirty[:0]
+}
+
+func (l *Loop) due() {
+	for len(l.timers) > 0 && (l.timers[0].dead || l.timers[0].at <= l.now) {
+		t := heap.Pop(&l.timers).(*Timer)
+		if !t.dead {
+			t.dead = true
+			t.f()
+		}
+	}
+}
+
+// timeout is how long to wait for events, in milliseconds. It rounds up, so that
+// a turn does not come before its timer is due.
+func (l *Loop) timeout() int {
+	if l.again {
+		return 0
+	}
+	for len(l.timers) > 0 && l.timers[0].dead {
+		heap.Pop(&l.timers)
+	}
+	if len(l.timers) == 0 {
+		return 1000
+	}
+	d := l.timers[0].at - time.Now().UnixMicro()
+	return int(min(1000, max(0, (d+999)/1000)))
+}
+
+// Close gives everything back.
+func (l *Loop) Close() {
+	l.CloseListeners()
+	for _, c := range l.conns {
+		c.drop()
+	}
+	l.reap()
+	unix.Close(l.wake)
+	unix.Close(l.ep)
+}
+
+// Pending reports whether the timer's call is still to come.
+func (t *Timer) Pending() bool { return t != nil && !t.dead }
--- /dev/null
+++ b/internal/platform/channel.go
@@ -0,0 +1,161 @@
+package platform
+
+// This file owns the connection to the command channel and the number of the
+// last event heard. It asks without pause, since an event counts as told once it
+// is in the channel. It must never skip an event, apply one twice, or stop asking.
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+
+	"merlintide"
+	"merlintide/internal/config"
+	"merlintide/internal/core"
+	"merlintide/internal/loop"
+)
+
+const (
+	blockMs     = 2000
+	answerSlack = 800_000
+	againAfter  = 100_000
+)
+
+// Channel follows the command channel.
+type Channel struct {
+	l      *loop.Loop
+	core   *core.Core
+	nodes  *Nodes
+	log    *Limited
+	addr   string
+	dialUs int64
+	cursor int64
+	c      *loop.Conn
+	limit  *loop.Timer
+}
+
+// NewChannel returns a follower that begins after cursor.
+func NewChannel(l *loop.Loop, c *core.Core, n *Nodes, addr string, dialUs int64, log *slog.Logger) *Channel {
+	return &Channel{l: l, core: c, nodes: n, addr: addr, dialUs: dialUs, log: NewLimited(log)}
+}
+
+// Apply takes events in order; known says that they came with the configuration.
+func (ch *Channel) Apply(u config.Update, known bool) {
+	now := ch.l.Now()
+	var all []merlintide.Entry
+	at := map[string]int{}
+	for _, ev := range u.Events {
+		if ev.Cursor <= ch.cursor {
+			continue
+		}
+		ch.cursor = ev.Cursor
+		if !ev.HasNodes {
+			continue
+		}
+		named := map[string]bool{}
+		entries := make([]merlintide.Entry, 0, len(ev.Members))
+		for _, m := range ev.Members {
+			named[m.Machine] = true
+			entries = append(entries, m.Entry)
+		}
+		if known {
+			// The start's events are folded into one list.
+			if ev.Complete {
+				all, at = nil, map[string]int{}
+			}
+			for _, e := range entries {
+				if i, ok := at[e.Machine]; ok {
+					all[i] = e
+					continue
+				}
+				at[e.Machine] = len(all)
+				all = append(all, e)
+			}
+		}
+		if ev.Complete {
+			ch.nodes.Reset(named)
+		}
+		for _, m := range ev.Members {
+			ch.nodes.Update(m.Machine, m.Addr, m.State != merlintide.Gone)
+		}
+		if !known {
+			kind := merlintide.ListDelta
+			if ev.Complete {
+				kind = merlintide.ListFull
+			}
+			ch.core.List(now, merlintide.List{Kind: kind, Entries: entries})
+		}
+	}
+	if known {
+		var left []merlintide.Entry
+		for _, e := range all {
+			if e.State != merlintide.Gone {
+				left = append(left, e)
+			}
+		}
+		ch.core.List(now, merlintide.List{Kind: merlintide.ListCached, Entries: left})
+	}
+	ch.cursor = max(ch.cursor, u.Cursor)
+}
+
+// Start begins to ask.
+func (ch *Channel) Start() {
+	c, err := ch.l.Dial(ch.addr, ch.dialUs, ch)
+	if err != nil {
+		ch.log.Warn("the command channel can't be reached", "err", err)
+		ch.l.After(againAfter, ch.Start)
+		return
+	}
+	ch.c = c
+}
+
+func (ch *Channel) ask() {
+	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
+		ch.cursor, blockMs, ch.addr)))
+	ch.limit.Stop()
+	ch.limit = ch.l.After(blockMs*1000+answerSlack, func() {
+		ch.log.Warn("the command channel is silent", "cursor", ch.cursor)
+		ch.c.Close()
+		ch.Start()
+	})
+}
+
+// Opened implements loop.Handler.
+func (ch *Channel) Opened(*loop.Conn) { ch.ask() }
+
+// Closed implements loop.Handler.
+func (ch *Channel) Closed(_ *loop.Conn, err error) {
+	ch.limit.Stop()
+	if !errors.Is(err, loop.ErrEOF) {
+		ch.log.Warn("the command channel broke off", "cursor", ch.cursor, "err", err)
+	}
+	ch.l.After(againAfter, ch.Start)
+}
+
+// Data implements loop.Handler.
+func (ch *Channel) Data(c *loop.Conn, b []byte) (int, error) {
+	r, used, err := parseResponse(b)
+	if err != nil || used == 0 {
+		return 0, err
+	}
+	if r.status >= 100 && r.status < 200 {
+		return used, nil
+	}
+	if r.status != 200 {
+		return used, fmt.Errorf("%w: the command channel answered %s", ErrMessage, strconv.Itoa(r.status))
+	}
+	u, err := config.ParseUpdate(r.body)
+	if err != nil {
+		return used, err
+	}
+	ch.limit.Stop()
+	ch.Apply(u, false)
+	if !r.keep {
+		c.Close()
+		ch.l.After(0, ch.Start)
+		return used, nil
+	}
+	ch.ask()
+	return used, nil
+}
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,465 @@
+package platform
+
+// This file owns the connections to minions: at most one for new offers to
+// each, older ones until what is open on them has ended. It turns what minions
+// send, and what becomes of their connections, into outcomes for the core. It
+// must never send an offer that the core did not ask for, and never take
+// silence for an answer: time limits belong to the core.
+
+import (
+	"cmp"
+	"errors"
+	"log/slog"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"golang.org/x/sys/unix"
+
+	"merlintide"
+	"merlintide/internal/core"
+	"merlintide/internal/loop"
+)
+
+const (
+	// staleAfter is how long an offer may lie on a connection on which nothing came
+	// in before new offers go out on a new one.
+	staleAfter  = 400_000
+	redialLeast = 100_000
+	redialMost  = 2_000_000
+	// strayMost bounds the connections to one minion.
+	strayMost = 4
+)
+
+// Nodes is the core's way to the minions.
+type Nodes struct {
+	l       *loop.Loop
+	core    *core.Core
+	log     *Limited
+	dialUs  int64
+	links   map[string]*link
+	pending []func() // outcomes found while the core was acting
+}
+
+// NewNodes returns the links, of which there are none yet. Use sets the core.
+func NewNodes(l *loop.Loop, dialUs int64, log *slog.Logger) *Nodes {
+	return &Nodes{l: l, dialUs: dialUs, log: NewLimited(log), links: map[string]*link{}}
+}
+
+// Use names the core that is told of outcomes.
+func (n *Nodes) Use(c *core.Core) { n.core = c }
+
+// later tells the core of an outcome in the next turn, not from within a call.
+func (n *Nodes) later(f func()) {
+	n.pending = append(n.pending, f)
+	n.l.Again()
+}
+
+// Gather tells the core what was found while it was acting.
+func (n *Nodes) Gather() {
+	for len(n.pending) > 0 {
+		p := n.pending
+		n.pending = nil
+		for _, f := range p {
+			f()
+		}
+	}
+}
+
+// link is one minion.
+type link struct {
+	n      *Nodes
+	id     string
+	addr   string
+	listed bool
+	conns  []*nodeConn // the last one takes new offers
+	wait   int64       // before the next dial
+	redial *loop.Timer
+	broke  bool // a connection was reset; a refused one now proves the death
+}
+
+// nodeConn is one connection to a minion.
+type nodeConn struct {
+	k      *link
+	c      *loop.Conn
+	open   map[string]*sent
+	early  [][]byte // messages that wait for the connection
+	readAt int64
+	probes map[string]int64
+}
+
+// sent is an offer without an answer.
+type sent struct {
+	at   int64
+	end  int64 // where its last byte lies in what was written
+	line []byte
+}
+
+// Update takes what the channel tells of a minion. A new address, or one that
+// another minion had, gets connections of its own.
+func (n *Nodes) Update(id, addr string, listed bool) {
+	k := n.links[id]
+	if k == nil {
+		if !listed {
+			return
+		}
+		k = &link{n: n, id: id, addr: addr}
+		n.links[id] = k
+	}
+	if addr != "" && addr != k.addr {
+		k.addr = addr
+		k.closeAll()
+	}
+	k.listed = listed
+	if listed {
+		k.ensure()
+	} else if k.redial.Stop(); len(k.conns) == 0 {
+		delete(n.links, id)
+	}
+}
+
+// Reset forgets the minions that a whole list did not name.
+func (n *Nodes) Reset(named map[string]bool) {
+	for _, id := range slices.Sorted(maps.Keys(n.links)) {
+		if !named[id] {
+			n.Update(id, "", false)
+		}
+	}
+}
+
+// --- core.Nodes ---
+
+// Offer implements core.Nodes.
+func (n *Nodes) Offer(node string, o core.Offer) {
+	k := n.links[node]
+	if k == nil {
+		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, merlintide.ConnectFailed, merlintide.WhyUntold) })
+		return
+	}
+	nc := k.usable()
+	if nc == nil {
+		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, merlintide.ConnectFailed, merlintide.WhyUntold) })
+		return
+	}
+	m := Message{Verb: verbStart, Tag: o.Tag, Blob: o.Description, HasBlob: true, Opts: []Field{
+		{"class", o.Class}, {"key", o.Key}, {"left", strconv.FormatInt(max(1, o.WaitUs/1000), 10)}}}
+	nc.open[o.Tag] = &sent{at: n.l.Now(), line: Append(nil, &m)}
+	if nc.c.Up() {
+		nc.start(nc.open[o.Tag])
+	}
+}
+
+func (nc *nodeConn) start(s *sent) {
+	nc.c.Write(s.line)
+	s.end, s.line = nc.c.Taken(), nil
+}
+
+// GiveUp implements core.Nodes.
+func (n *Nodes) GiveUp(node, tag string) {
+	k := n.links[node]
+	if k == nil {
+		return
+	}
+	for _, nc := range k.conns {
+		s := nc.open[tag]
+		if s == nil {
+			continue
+		}
+		delete(nc.open, tag)
+		if s.line == nil {
+			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
+		}
+	}
+	k.prune()
+}
+
+// Release implements core.Nodes.
+func (n *Nodes) Release(node, tag string) {
+	if k := n.links[node]; k != nil {
+		if nc := k.usable(); nc != nil {
+			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
+		}
+	}
+}
+
+// Probe implements core.Nodes.
+func (n *Nodes) Probe(node string) {
+	k := n.links[node]
+	var nc *nodeConn
+	if k != nil {
+		nc = k.usable()
+	}
+	if nc == nil {
+		n.later(func() {
+			n.core.NodeSampled(n.l.Now(), merlintide.Sampled{Machine: node, Status: merlintide.ConnectFailed})
+		})
+		return
+	}
+	tag := strconv.FormatInt(n.l.Now(), 16)
+	nc.probes[tag] = n.l.Now()
+	nc.send(&Message{Verb: verbEcho, Tag: tag, HasRC: true})
+	n.l.After(n.dialUs, func() { nc.probed(tag, merlintide.TimedOut, "") })
+}
+
+func (nc *nodeConn) probed(tag string, st merlintide.Status, load string) {
+	at, ok := nc.probes[tag]
+	if !ok {
+		return
+	}
+	delete(nc.probes, tag)
+	now := nc.k.n.l.Now()
+	nc.k.n.core.NodeSampled(now, merlintide.Sampled{Machine: nc.k.id, Status: st, RTTUs: now - at, Load: report(load)})
+}
+
+// --- Connections ---
+
+// usable returns the connection for new messages, perhaps one that is not up
+// yet, or nil where none could even be started.
+func (k *link) usable() *nodeConn {
+	if n := len(k.conns); n > 0 {
+		nc := k.conns[n-1]
+		if !nc.c.Gone() && !nc.stale() {
+			return nc
+		}
+	}
+	return k.dial()
+}
+
+// stale reports whether an offer lies on the connection while nothing comes in:
+// a minion that was cut off leaves its connections open and silent, and a new
+// one tells quickly, and with proof, that it is away.
+func (nc *nodeConn) stale() bool {
+	if !nc.c.Up() {
+		return false
+	}
+	now := nc.k.n.l.Now()
+	for _, s := range nc.open {
+		if now-max(s.at, nc.readAt) > staleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *link) dial() *nodeConn {
+	if len(k.conns) >= strayMost {
+		k.conns[0].end(loop.ErrBudget)
+	}
+	nc := &nodeConn{k: k, open: map[string]*sent{}, probes: map[string]int64{}}
+	c, err := k.n.l.Dial(k.addr, k.n.dialUs, nc)
+	if err != nil {
+		k.n.log.Warn("no connection could be started", "node", k.id, "err", err)
+		if errors.Is(err, unix.ECONNREFUSED) {
+			k.refused()
+		}
+		k.later()
+		return nil
+	}
+	nc.c = c
+	k.conns = append(k.conns, nc)
+	return nc
+}
+
+// ensure keeps a connection to a listed minion: tasks that stand belong to no
+// connection, and their end comes on any.
+func (k *link) ensure() {
+	if k.listed && len(k.conns) == 0 && (k.redial == nil || !k.redial.Pending()) {
+		k.dial()
+	}
+}
+
+// later dials again after a while that grows with each failure.
+func (k *link) later() {
+	if !k.listed || k.redial != nil && k.redial.Pending() {
+		return
+	}
+	k.wait = min(redialMost, max(redialLeast, k.wait*2))
+	k.redial = k.n.l.After(k.wait, func() {
+		if k.listed && len(k.conns) == 0 {
+			k.dial()
+		}
+	})
+}
+
+// refused takes a refused connection after one that was reset: the process died.
+func (k *link) refused() {
+	if !k.broke {
+		return
+	}
+	k.broke = false
+	k.n.log.Warn("a minion has died", "node", k.id)
+	k.n.later(func() { k.n.core.NodeLost(k.n.l.Now(), k.id) })
+}
+
+// prune closes older connections with nothing on them.
+func (k *link) prune() {
+	for i := 0; i < len(k.conns)-1; {
+		if nc := k.conns[i]; len(nc.open) == 0 && k.conns[len(k.conns)-1].c.Up() {
+			nc.end(nil)
+			continue
+		}
+		i++
+	}
+}
+
+func (k *link) closeAll() {
+	for len(k.conns) > 0 {
+		k.conns[0].end(loop.ErrEOF)
+	}
+}
+
+// end closes the connection from this side and tells what was open on it.
+func (nc *nodeConn) end(err error) {
+	nc.c.Close()
+	nc.lost(err)
+}
+
+// lost takes the connection off its link and ends what was open on it. What had
+// not left this machine whole never ran; the rest may have.
+func (nc *nodeConn) lost(err error) {
+	k := nc.k
+	k.conns = slices.DeleteFunc(k.conns, func(o *nodeConn) bool { return o == nc })
+	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
+		s := nc.open[tag]
+		st := merlintide.Reset
+		if s.line != nil || s.end > nc.c.Given() {
+			st = merlintide.ConnectFailed
+		}
+		k.n.later(func() { k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, st, merlintide.WhyUntold) })
+	}
+	clear(nc.open)
+	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
+		nc.probed(tag, merlintide.ConnectFailed, "")
+	}
+}
+
+func (nc *nodeConn) send(m *Message) {
+	if nc.c.Up() {
+		nc.c.Write(Append(nil, m))
+		return
+	}
+	nc.early = append(nc.early, Append(nil, m))
+}
+
+// Opened implements loop.Handler.
+func (nc *nodeConn) Opened(*loop.Conn) {
+	nc.readAt = nc.k.n.l.Now()
+	nc.k.wait, nc.k.broke = 0, false
+	for _, b := range nc.early {
+		nc.c.Write(b)
+	}
+	nc.early = nil
+	waiting := slices.SortedFunc(maps.Values(nc.open), func(a, b *sent) int { return cmp.Compare(a.at, b.at) })
+	for _, s := range waiting {
+		nc.start(s)
+	}
+	nc.k.prune()
+}
+
+// Closed implements loop.Handler.
+func (nc *nodeConn) Closed(_ *loop.Conn, err error) {
+	k := nc.k
+	if !errors.Is(err, loop.ErrEOF) || len(nc.open) > 0 {
+		k.n.log.Warn("a connection to a minion ended", "node", k.id, "open", len(nc.open), "err", err)
+	}
+	nc.lost(err)
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		k.refused()
+		k.later()
+	case errors.Is(err, loop.ErrTimeout):
+		k.later()
+	default:
+		k.broke = k.broke || !errors.Is(err, loop.ErrEOF)
+		if len(k.conns) == 0 {
+			k.later()
+		}
+	}
+	if !k.listed && len(k.conns) == 0 {
+		delete(k.n.links, k.id)
+	}
+}
+
+// Data implements loop.Handler.
+func (nc *nodeConn) Data(_ *loop.Conn, b []byte) (int, error) {
+	nc.readAt = nc.k.n.l.Now()
+	return lines(b, func(line []byte) error {
+		m, err := Parse(line)
+		if err != nil {
+			nc.k.n.log.Warn("malformed message from a minion", "node", nc.k.id, "err", err)
+			return err
+		}
+		nc.message(&m)
+		return nil
+	})
+}
+
+var noteKinds = map[string]merlintide.NoteKind{"up": merlintide.NoteRuns, "cpu": merlintide.NoteCores,
+	"mem": merlintide.NoteMemory, "share": merlintide.NoteService, "tight": merlintide.NotePressure}
+
+var whys = map[string]merlintide.Why{"cpu_full": merlintide.WhyCores, "mem_full": merlintide.WhyMemory,
+	"busy": merlintide.WhyQueue, "wrong_host": merlintide.WhyNotHere, "oom": merlintide.WhyEvicted,
+	"preempted": merlintide.WhyPushedOut, "drained": merlintide.WhySentAway}
+
+var statuses = map[int]merlintide.Status{causeGivenUp: merlintide.OK, causeCancelled: merlintide.Cancelled,
+	causeFull: merlintide.Full, causeError: merlintide.Failed, causeMoot: merlintide.Moot}
+
+func (nc *nodeConn) message(m *Message) {
+	n, id, now := nc.k.n, nc.k.id, nc.k.n.l.Now()
+	switch m.Verb {
+	case verbStarted:
+		if s := nc.open[m.Tag]; s != nil && s.line == nil {
+			delete(nc.open, m.Tag)
+			n.core.NodeStarted(now, id, m.Tag, m.Blob)
+			nc.k.prune()
+		}
+	case verbFinish:
+		delete(nc.open, m.Tag)
+		st, ok := statuses[m.RC]
+		if !ok {
+			st = merlintide.Reset
+		}
+		n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
+		nc.k.prune()
+	case verbNotice:
+		v, err := strconv.ParseFloat(m.Opt("value"), 64)
+		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil || kind == merlintide.NoteRuns) {
+			n.core.NodeNote(now, id, m.Tag, kind, v)
+		}
+	case verbEchoed:
+		st := merlintide.OK
+		if m.RC != 1 {
+			st = merlintide.Failed
+		}
+		nc.probed(m.Tag, st, m.Opt("load"))
+	case verbEcho:
+		nc.send(&Message{Verb: verbEchoed, Tag: m.Tag, RC: 1, HasRC: true})
+	}
+}
+
+// report reads a load report.
+func report(load string) merlintide.Load {
+	l := merlintide.Load{X0: nan, X1: nan, Util: nan, Queue: nan}
+	for _, pair := range strings.FieldsFunc(load, func(r rune) bool { return r == ';' || r == ',' }) {
+		name, value, _ := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0":
+			l.X0 = v
+		case "x1":
+			l.X1 = v
+		case "util", "utilization":
+			l.Util = v
+		case "queue", "backlog":
+			l.Queue = v
+		}
+	}
+	return l
+}
+
+var nan = math.NaN()
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -90,8 +90,8 @@
 	return v
 }
 
-// settings reads the Conf field. Unknown keys are skipped.
-func settings(pairs []string) (merlintide.Settings, error) {
+// Settings reads the pairs of the Conf field. Unknown keys are skipped.
+func Settings(pairs []string) (merlintide.Settings, error) {
 	c := &conf{m: make(map[string]string, len(pairs))}
 	for _, p := range pairs {
 		k, v, ok := strings.Cut(p, "=")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -190,7 +190,7 @@
 	"ENLIST": func(_ *Decoder, f *fields, it *Item) error {
 		it.Kind, it.Seed = Start, uint64(f.int("Prng"))
 		var err error
-		it.Settings, err = settings(f.rest())
+		it.Settings, err = Settings(f.rest())
 		return err
 	},
 	"DOWN": func(_ *Decoder, _ *fields, it *Item) error {
