--- a/api.go
+++ b/api.go
@@ -1,11 +1,11 @@
-// Package merlintide decides, for one placer of a cluster scheduler, which
+// Package ravenhitch decides, for one placer of a cluster scheduler, which
 // machine each task goes to. Many placers run side by side and share nothing:
 // a [Placer] knows only its [Settings], its seed and the events it was given.
 //
 // This file is the interface: settings, events and actions. It decides nothing.
 // Every time is in microseconds, on the clock that the caller passes to
 // [Placer.Handle].
-package merlintide
+package ravenhitch
 
 // Effect says what repeating a task of a class may do.
 type Effect int
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -14,10 +14,10 @@
 	"runtime/debug"
 	"syscall"
 
-	"merlintide/internal/config"
-	"merlintide/internal/core"
-	"merlintide/internal/loop"
-	"merlintide/internal/platform"
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
+	"ravenhitch/internal/platform"
 )
 
 const (
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"merlintide"
-	"merlintide/internal/wire"
+	"ravenhitch"
+	"ravenhitch/internal/wire"
 )
 
 func main() {
@@ -21,13 +21,13 @@
 
 // host holds the instances, which share nothing.
 type host struct {
-	placers map[int]*merlintide.Placer
+	placers map[int]*ravenhitch.Placer
 	enc     *wire.Encoder
 }
 
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(in)
-	h := &host{placers: map[int]*merlintide.Placer{}, enc: wire.NewEncoder(out)}
+	h := &host{placers: map[int]*ravenhitch.Placer{}, enc: wire.NewEncoder(out)}
 	for {
 		b, err := dec.Next()
 		if errors.Is(err, io.EOF) {
@@ -46,8 +46,8 @@
 // they do.
 func (h *host) reply(b wire.Batch) error {
 	var order []int
-	events := map[int][]merlintide.Event{}
-	note := func(inst int, e merlintide.Event) {
+	events := map[int][]ravenhitch.Event{}
+	note := func(inst int, e ravenhitch.Event) {
 		if _, ok := events[inst]; !ok {
 			order = append(order, inst)
 		}
@@ -58,7 +58,7 @@
 		case wire.Start:
 			delete(events, it.Inst)
 			order = without(order, it.Inst)
-			p, err := merlintide.New(it.Settings, it.Seed)
+			p, err := ravenhitch.New(it.Settings, it.Seed)
 			if err != nil {
 				if err := h.enc.Fault(it.Inst, err.Error()); err != nil {
 					return err
@@ -105,7 +105,7 @@
 }
 
 // handle turns a panic of the decision code into a text.
-func handle(p *merlintide.Placer, now int64, ev []merlintide.Event) (a []merlintide.Action, fault string) {
+func handle(p *ravenhitch.Placer, now int64, ev []ravenhitch.Event) (a []ravenhitch.Action, fault string) {
 	defer func() {
 		if r := recover(); r != nil {
 			a, fault = nil, fmt.Sprint("panic: ", r)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,8 +15,8 @@
 
 	"github.com/tidwall/gjson"
 
-	"merlintide"
-	"merlintide/internal/wire"
+	"ravenhitch"
+	"ravenhitch/internal/wire"
 )
 
 // ErrConfig is wrapped by every error of this package.
@@ -29,7 +29,7 @@
 	MemoryMB, Sockets     int64
 	DialTimeoutUs         int64
 	Known                 Update
-	Settings              merlintide.Settings
+	Settings              ravenhitch.Settings
 }
 
 // Update is what the command channel tells.
@@ -48,7 +48,7 @@
 
 // Member is one minion of a list.
 type Member struct {
-	merlintide.Entry
+	ravenhitch.Entry
 	Addr string
 }
 
@@ -152,8 +152,8 @@
 	return update(gjson.ParseBytes(b))
 }
 
-var states = map[string]merlintide.State{"up": merlintide.Ready, "draining": merlintide.Draining,
-	"removed": merlintide.Gone}
+var states = map[string]ravenhitch.State{"up": ravenhitch.Ready, "draining": ravenhitch.Draining,
+	"removed": ravenhitch.Gone}
 
 func update(j gjson.Result) (Update, error) {
 	if !j.IsObject() {
@@ -183,7 +183,7 @@
 }
 
 func member(v gjson.Result) (Member, error) {
-	m := Member{Addr: v.Get("host_port").String(), Entry: merlintide.Entry{
+	m := Member{Addr: v.Get("host_port").String(), Entry: ravenhitch.Entry{
 		Machine: v.Get("id").String(), Kind: v.Get("flavor").String(), Zone: v.Get("locality").String(),
 		Cell: int(v.Get("cell").Int()), StartUs: v.Get("up_since_ms").Int() * 1000,
 		SpareCores: v.Get("spare.0").Float(), SpareMem: v.Get("spare.1").Float(),
@@ -195,7 +195,7 @@
 	if m.State, ok = states[v.Get("phase").String()]; !ok {
 		return m, fmt.Errorf("%w: member %.40q: phase %.40q is unknown", ErrConfig, m.Machine, v.Get("phase").String())
 	}
-	if _, err := netip.ParseAddrPort(m.Addr); err != nil && m.State != merlintide.Gone {
+	if _, err := netip.ParseAddrPort(m.Addr); err != nil && m.State != ravenhitch.Gone {
 		return m, fmt.Errorf("%w: member %.40q: host_port %.60q is no address", ErrConfig, m.Machine, m.Addr)
 	}
 	return m, nil
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,7 +18,7 @@
 	"log/slog"
 	"strconv"
 
-	"merlintide"
+	"ravenhitch"
 )
 
 const (
@@ -63,8 +63,8 @@
 	Tag         string
 	Description string            // Started: what the node gave
 	WaitUs      int64             // Refused: how long to stay away
-	Status      merlintide.Status // Over: how the task ended
-	Why         merlintide.Why    // Refused, Over: the reason, where one was told
+	Status      ravenhitch.Status // Over: how the task ended
+	Why         ravenhitch.Why    // Refused, Over: the reason, where one was told
 	Node        string            // Started: where it stands
 }
 
@@ -107,7 +107,7 @@
 	owner    Owner
 	state    state
 	deadline int64
-	effect   merlintide.Effect
+	effect   ravenhitch.Effect
 	attempts int
 	sentAt   int64
 	abandon  int64
@@ -127,16 +127,16 @@
 // Core is the request table round one decision module. It is not safe for
 // concurrent use.
 type Core struct {
-	placer  *merlintide.Placer
-	set     merlintide.Settings
-	effects map[string]merlintide.Effect
+	placer  *ravenhitch.Placer
+	set     ravenhitch.Settings
+	effects map[string]ravenhitch.Effect
 	nodes   Nodes
 	log     *slog.Logger
 	now     int64
 	reqs    map[string]*request
 	due     dues
 	bells   bells
-	events  []merlintide.Event
+	events  []ravenhitch.Event
 	told    map[string]int64 // when a node was told to drain or to be gone
 	listed  map[string]bool
 	channel bool // the list is followed
@@ -146,12 +146,12 @@
 }
 
 // New returns a core that decides with a new module.
-func New(s merlintide.Settings, seed uint64, nodes Nodes, log *slog.Logger) (*Core, error) {
-	p, err := merlintide.New(s, seed)
+func New(s ravenhitch.Settings, seed uint64, nodes Nodes, log *slog.Logger) (*Core, error) {
+	p, err := ravenhitch.New(s, seed)
 	if err != nil {
 		return nil, fmt.Errorf("core: %w", err)
 	}
-	c := &Core{placer: p, set: s, effects: map[string]merlintide.Effect{}, nodes: nodes, log: log,
+	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, told: map[string]int64{}, listed: map[string]bool{}}
 	for _, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
@@ -182,7 +182,7 @@
 	return n
 }
 
-func (c *Core) event(e merlintide.Event) { c.events = append(c.events, e) }
+func (c *Core) event(e ravenhitch.Event) { c.events = append(c.events, e) }
 
 // number turns a name into the module's number for it.
 func number(name string) uint64 {
@@ -209,20 +209,20 @@
 	}
 	effect, ok := c.effects[s.Class]
 	if !ok {
-		effect = merlintide.Unsafe
+		effect = ravenhitch.Unsafe
 	}
 	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1}
 	c.reqs[s.Tag] = r
-	task := merlintide.Task{Ticket: s.Tag, Workload: number(s.Key), DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
+	task := ravenhitch.Task{Ticket: s.Tag, Workload: number(s.Key), DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
 		Class: s.Class, Program: s.Service}
 	if s.At != "" {
 		c.counts.Opened++
 		r.state, r.node, r.mayRun = standing, s.At, true
-		c.event(merlintide.Existing{Task: task, Machine: s.At})
+		c.event(ravenhitch.Existing{Task: task, Machine: s.At})
 		return true
 	}
 	c.counts.Requests++
-	c.event(merlintide.Request{Task: task})
+	c.event(ravenhitch.Request{Task: task})
 	c.arm(r, r.deadline)
 	return true
 }
@@ -248,10 +248,10 @@
 	switch r.state {
 	case waiting, out:
 		c.counts.Withdrawn++
-		c.event(merlintide.ClientGone{Ticket: tag})
+		c.event(ravenhitch.ClientGone{Ticket: tag})
 		if r.state == out {
 			c.nodes.GiveUp(r.node, tag)
-			c.done(r, merlintide.Cancelled, merlintide.WhyUntold, true)
+			c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
 		}
 		c.forget(r)
 	case standing:
@@ -275,12 +275,12 @@
 	r.state, r.mayRun = standing, true
 	c.counts.Started++
 	c.disarm(r)
-	c.event(merlintide.Accepted{Ticket: tag, Attempt: r.attempts - 1, Machine: node, RTTUs: now - r.sentAt})
+	c.event(ravenhitch.Accepted{Ticket: tag, Attempt: r.attempts - 1, Machine: node, RTTUs: now - r.sentAt})
 	r.owner.Answer(Answer{Kind: Started, Tag: tag, Description: description, Node: node})
 }
 
 // NodeEnded takes the end of an attempt or of a task that stands.
-func (c *Core) NodeEnded(now int64, node, tag string, st merlintide.Status, why merlintide.Why) {
+func (c *Core) NodeEnded(now int64, node, tag string, st ravenhitch.Status, why ravenhitch.Why) {
 	c.now = now
 	r := c.reqs[tag]
 	if r == nil || r.node != node {
@@ -289,29 +289,29 @@
 	switch r.state {
 	case out:
 		switch st {
-		case merlintide.OK, merlintide.Cancelled:
-			st = merlintide.Reset
+		case ravenhitch.OK, ravenhitch.Cancelled:
+			st = ravenhitch.Reset
 		}
 		c.ended(r, st, why)
 	case standing, leaving:
 		switch st {
-		case merlintide.OK, merlintide.Cancelled, merlintide.Reset:
+		case ravenhitch.OK, ravenhitch.Cancelled, ravenhitch.Reset:
 		default:
-			st = merlintide.Reset
+			st = ravenhitch.Reset
 		}
 		c.over(r, st, why)
 	}
 }
 
 // ended is the end of an attempt that was not answered with yes.
-func (c *Core) ended(r *request, st merlintide.Status, why merlintide.Why) {
+func (c *Core) ended(r *request, st ravenhitch.Status, why ravenhitch.Why) {
 	switch st {
-	case merlintide.Full:
+	case ravenhitch.Full:
 		c.counts.Full++
-	case merlintide.ConnectFailed:
+	case ravenhitch.ConnectFailed:
 		c.counts.ConnectFailed++
-	case merlintide.Moot:
-	case merlintide.TimedOut:
+	case ravenhitch.Moot:
+	case ravenhitch.TimedOut:
 		c.counts.TimedOut++
 		r.mayRun = true
 	default:
@@ -325,30 +325,30 @@
 
 // over is the end of a task that stood. Its owner is told, but where it asked
 // for the end itself.
-func (c *Core) over(r *request, st merlintide.Status, why merlintide.Why) {
+func (c *Core) over(r *request, st ravenhitch.Status, why ravenhitch.Why) {
 	c.done(r, st, why, true)
-	if r.state == standing && st != merlintide.Cancelled {
+	if r.state == standing && st != ravenhitch.Cancelled {
 		c.counts.Over++
 		r.owner.Answer(Answer{Kind: Over, Tag: r.Tag, Status: st, Why: why})
 	}
 	c.forget(r)
 }
 
-func (c *Core) done(r *request, st merlintide.Status, why merlintide.Why, closed bool) {
-	c.event(merlintide.Done{Ticket: r.Tag, Attempt: max(0, r.attempts-1), Machine: r.node, Status: st, Why: why,
+func (c *Core) done(r *request, st ravenhitch.Status, why ravenhitch.Why, closed bool) {
+	c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: max(0, r.attempts-1), Machine: r.node, Status: st, Why: why,
 		Closed: closed, RTTUs: c.now - r.sentAt})
 }
 
 // NodeNote takes news of a task that stands.
-func (c *Core) NodeNote(now int64, node, tag string, kind merlintide.NoteKind, value float64) {
+func (c *Core) NodeNote(now int64, node, tag string, kind ravenhitch.NoteKind, value float64) {
 	c.now = now
 	if r := c.reqs[tag]; r != nil && r.node == node && r.state == standing {
-		c.event(merlintide.Note{Ticket: tag, Attempt: max(0, r.attempts-1), Machine: node, Kind: kind, Value: value})
+		c.event(ravenhitch.Note{Ticket: tag, Attempt: max(0, r.attempts-1), Machine: node, Kind: kind, Value: value})
 	}
 }
 
 // NodeSampled takes the answer to a probe.
-func (c *Core) NodeSampled(now int64, e merlintide.Sampled) {
+func (c *Core) NodeSampled(now int64, e ravenhitch.Sampled) {
 	c.now = now
 	c.event(e)
 }
@@ -359,21 +359,21 @@
 	c.now = now
 	for _, r := range c.sorted() {
 		if r.node == node && (r.state == standing || r.state == leaving) {
-			c.over(r, merlintide.Reset, merlintide.WhyUntold)
+			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
 		}
 	}
 }
 
 // List takes what the command channel told of the nodes.
-func (c *Core) List(now int64, l merlintide.List) {
+func (c *Core) List(now int64, l ravenhitch.List) {
 	c.now = now
 	c.channel = true
-	if l.Kind == merlintide.ListFull || l.Kind == merlintide.ListCached {
+	if l.Kind == ravenhitch.ListFull || l.Kind == ravenhitch.ListCached {
 		clear(c.listed)
 	}
 	for _, e := range l.Entries {
-		c.listed[e.Machine] = e.State != merlintide.Gone
-		if e.State == merlintide.Ready {
+		c.listed[e.Machine] = e.State != ravenhitch.Gone
+		if e.State == ravenhitch.Ready {
 			delete(c.told, e.Machine)
 		} else if _, ok := c.told[e.Machine]; !ok {
 			c.told[e.Machine] = now
@@ -413,7 +413,7 @@
 	}
 	for len(c.bells) > 0 && c.bells[0].at <= now {
 		b := heap.Pop(&c.bells).(bell)
-		c.event(merlintide.Bell{Ref: b.ref})
+		c.event(ravenhitch.Bell{Ref: b.ref})
 	}
 	if now >= c.sweepAt {
 		c.sweepAt = now + sweepEvery
@@ -422,7 +422,7 @@
 	if c.observe && c.channel {
 		// The channel is followed without being asked; the module is told that it is.
 		c.observe = false
-		c.event(merlintide.List{Kind: merlintide.ListDelta})
+		c.event(ravenhitch.List{Kind: ravenhitch.ListDelta})
 	}
 	if len(c.events) == 0 {
 		return
@@ -441,18 +441,18 @@
 	case out:
 		// The node is told before anything else may go out for this request.
 		c.nodes.GiveUp(r.node, r.Tag)
-		c.ended(r, merlintide.TimedOut, merlintide.WhyUntold)
+		c.ended(r, ravenhitch.TimedOut, ravenhitch.WhyUntold)
 		if c.now >= r.deadline {
 			// The module answers within this turn; else the next turn does.
 			c.arm(r, c.now+1)
 		}
 	case waiting:
 		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
-		c.event(merlintide.ClientGone{Ticket: r.Tag})
+		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
 		c.finish(r, 0)
 	case leaving:
 		c.nodes.Release(r.node, r.Tag)
-		c.over(r, merlintide.Cancelled, merlintide.WhyUntold)
+		c.over(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
 	}
 }
 
@@ -473,28 +473,28 @@
 		if c.now-r.lostAt >= orphanAfter {
 			c.log.Info("a task stood on a node that left the list", "tag", r.Tag, "node", r.node)
 			c.nodes.Release(r.node, r.Tag)
-			c.over(r, merlintide.Reset, merlintide.WhyUntold)
+			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
 		}
 	}
 }
 
 // act carries out one action of the module.
-func (c *Core) act(a merlintide.Action) {
+func (c *Core) act(a ravenhitch.Action) {
 	switch a := a.(type) {
-	case merlintide.Place:
+	case ravenhitch.Place:
 		if r := c.reqs[a.Ticket]; r != nil {
 			c.place(r, a)
 		}
-	case merlintide.Deny:
+	case ravenhitch.Deny:
 		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
 			c.finish(r, a.RetryInUs)
 		}
-	case merlintide.Error:
+	case ravenhitch.Error:
 		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
 			r.mayRun = true
 			c.fail(r)
 		}
-	case merlintide.Move:
+	case ravenhitch.Move:
 		if r := c.reqs[a.Ticket]; r != nil && r.state == standing {
 			c.counts.Moved++
 			r.owner.Answer(Answer{Kind: Moved, Tag: r.Tag})
@@ -502,26 +502,26 @@
 			r.state = leaving
 			c.arm(r, c.now+cutWait)
 		}
-	case merlintide.Cancel:
+	case ravenhitch.Cancel:
 		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.attempts-1 {
 			c.nodes.GiveUp(r.node, r.Tag)
-			c.ended(r, merlintide.Cancelled, merlintide.WhyUntold)
+			c.ended(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
 		}
-	case merlintide.AskLoad:
+	case ravenhitch.AskLoad:
 		c.nodes.Probe(a.Machine)
-	case merlintide.Observe:
+	case ravenhitch.Observe:
 		c.observe = a.Active
-	case merlintide.Refresh:
+	case ravenhitch.Refresh:
 		c.observe = true
-	case merlintide.SetAlarm:
+	case ravenhitch.SetAlarm:
 		heap.Push(&c.bells, bell{c.now + a.OffsetUs, a.Ref})
-	case merlintide.SayLog:
+	case ravenhitch.SayLog:
 		c.log.Info("module", "text", a.Text)
 	}
 }
 
 // place sends an offer, if no invariant stands against it.
-func (c *Core) place(r *request, a merlintide.Place) {
+func (c *Core) place(r *request, a ravenhitch.Place) {
 	guard := ""
 	told, draining := c.told[a.Machine]
 	switch {
@@ -531,7 +531,7 @@
 		guard = "its time is up"
 	case c.set.AttemptsCap > 0 && r.attempts >= c.set.AttemptsCap:
 		guard = "no attempts are left"
-	case r.effect == merlintide.Unsafe && r.mayRun:
+	case r.effect == ravenhitch.Unsafe && r.mayRun:
 		guard = "it may have started and must not start twice"
 	case draining && c.now >= told+max(0, c.set.DrainGraceUs-drainMargin):
 		guard = "the node drains"
@@ -539,7 +539,7 @@
 	if guard != "" {
 		c.counts.Guarded++
 		c.log.Error("the module's offer was held back", "tag", r.Tag, "node", a.Machine, "why", guard)
-		c.event(merlintide.Done{Ticket: r.Tag, Attempt: r.attempts, Machine: a.Machine, Status: merlintide.Moot})
+		c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: r.attempts, Machine: a.Machine, Status: ravenhitch.Moot})
 		r.attempts++
 		return
 	}
@@ -558,7 +558,7 @@
 // finish answers a request that was given up: refused where a retry is
 // harmless, else failed.
 func (c *Core) finish(r *request, retry int64) {
-	if r.mayRun && r.effect != merlintide.Safe {
+	if r.mayRun && r.effect != ravenhitch.Safe {
 		c.fail(r)
 		return
 	}
@@ -579,7 +579,7 @@
 func (c *Core) withdraw(r *request) {
 	if r.state == out {
 		c.nodes.GiveUp(r.node, r.Tag)
-		c.done(r, merlintide.Cancelled, merlintide.WhyUntold, true)
+		c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
 	}
 }
 
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -10,10 +10,10 @@
 	"log/slog"
 	"strconv"
 
-	"merlintide"
-	"merlintide/internal/config"
-	"merlintide/internal/core"
-	"merlintide/internal/loop"
+	"ravenhitch"
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
 )
 
 const (
@@ -43,7 +43,7 @@
 // Apply takes events in order; known says that they came with the configuration.
 func (ch *Channel) Apply(u config.Update, known bool) {
 	now := ch.l.Now()
-	var all []merlintide.Entry
+	var all []ravenhitch.Entry
 	at := map[string]int{}
 	for _, ev := range u.Events {
 		if ev.Cursor <= ch.cursor {
@@ -54,7 +54,7 @@
 			continue
 		}
 		named := map[string]bool{}
-		entries := make([]merlintide.Entry, 0, len(ev.Members))
+		entries := make([]ravenhitch.Entry, 0, len(ev.Members))
 		for _, m := range ev.Members {
 			named[m.Machine] = true
 			entries = append(entries, m.Entry)
@@ -77,24 +77,24 @@
 			ch.nodes.Reset(named)
 		}
 		for _, m := range ev.Members {
-			ch.nodes.Update(m.Machine, m.Addr, m.State != merlintide.Gone)
+			ch.nodes.Update(m.Machine, m.Addr, m.State != ravenhitch.Gone)
 		}
 		if !known {
-			kind := merlintide.ListDelta
+			kind := ravenhitch.ListDelta
 			if ev.Complete {
-				kind = merlintide.ListFull
+				kind = ravenhitch.ListFull
 			}
-			ch.core.List(now, merlintide.List{Kind: kind, Entries: entries})
+			ch.core.List(now, ravenhitch.List{Kind: kind, Entries: entries})
 		}
 	}
 	if known {
-		var left []merlintide.Entry
+		var left []ravenhitch.Entry
 		for _, e := range all {
-			if e.State != merlintide.Gone {
+			if e.State != ravenhitch.Gone {
 				left = append(left, e)
 			}
 		}
-		ch.core.List(now, merlintide.List{Kind: merlintide.ListCached, Entries: left})
+		ch.core.List(now, ravenhitch.List{Kind: ravenhitch.ListCached, Entries: left})
 	}
 	ch.cursor = max(ch.cursor, u.Cursor)
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -11,9 +11,9 @@
 	"strings"
 	"time"
 
-	"merlintide"
-	"merlintide/internal/core"
-	"merlintide/internal/loop"
+	"ravenhitch"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
 )
 
 // The causes of the protocol.
@@ -214,7 +214,7 @@
 		m.RC = causeError
 	case core.Over:
 		m.RC = causeGivenUp
-		if a.Status != merlintide.OK {
+		if a.Status != ravenhitch.OK {
 			m.RC = causeReset
 		}
 	case core.Moved:
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -18,9 +18,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"merlintide"
-	"merlintide/internal/core"
-	"merlintide/internal/loop"
+	"ravenhitch"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
 )
 
 const (
@@ -135,12 +135,12 @@
 func (n *Nodes) Offer(node string, o core.Offer) {
 	k := n.links[node]
 	if k == nil {
-		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, merlintide.ConnectFailed, merlintide.WhyUntold) })
+		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold) })
 		return
 	}
 	nc := k.usable()
 	if nc == nil {
-		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, merlintide.ConnectFailed, merlintide.WhyUntold) })
+		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold) })
 		return
 	}
 	m := Message{Verb: verbStart, Tag: o.Tag, Blob: o.Description, HasBlob: true, Opts: []Field{
@@ -193,24 +193,24 @@
 	}
 	if nc == nil {
 		n.later(func() {
-			n.core.NodeSampled(n.l.Now(), merlintide.Sampled{Machine: node, Status: merlintide.ConnectFailed})
+			n.core.NodeSampled(n.l.Now(), ravenhitch.Sampled{Machine: node, Status: ravenhitch.ConnectFailed})
 		})
 		return
 	}
 	tag := strconv.FormatInt(n.l.Now(), 16)
 	nc.probes[tag] = n.l.Now()
 	nc.send(&Message{Verb: verbEcho, Tag: tag, HasRC: true})
-	n.l.After(n.dialUs, func() { nc.probed(tag, merlintide.TimedOut, "") })
+	n.l.After(n.dialUs, func() { nc.probed(tag, ravenhitch.TimedOut, "") })
 }
 
-func (nc *nodeConn) probed(tag string, st merlintide.Status, load string) {
+func (nc *nodeConn) probed(tag string, st ravenhitch.Status, load string) {
 	at, ok := nc.probes[tag]
 	if !ok {
 		return
 	}
 	delete(nc.probes, tag)
 	now := nc.k.n.l.Now()
-	nc.k.n.core.NodeSampled(now, merlintide.Sampled{Machine: nc.k.id, Status: st, RTTUs: now - at, Load: report(load)})
+	nc.k.n.core.NodeSampled(now, ravenhitch.Sampled{Machine: nc.k.id, Status: st, RTTUs: now - at, Load: report(load)})
 }
 
 // --- Connections ---
@@ -323,15 +323,15 @@
 	k.conns = slices.DeleteFunc(k.conns, func(o *nodeConn) bool { return o == nc })
 	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
 		s := nc.open[tag]
-		st := merlintide.Reset
+		st := ravenhitch.Reset
 		if s.line != nil || s.end > nc.c.Given() {
-			st = merlintide.ConnectFailed
+			st = ravenhitch.ConnectFailed
 		}
-		k.n.later(func() { k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, st, merlintide.WhyUntold) })
+		k.n.later(func() { k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, st, ravenhitch.WhyUntold) })
 	}
 	clear(nc.open)
 	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
-		nc.probed(tag, merlintide.ConnectFailed, "")
+		nc.probed(tag, ravenhitch.ConnectFailed, "")
 	}
 }
 
@@ -396,15 +396,15 @@
 	})
 }
 
-var noteKinds = map[string]merlintide.NoteKind{"up": merlintide.NoteRuns, "cpu": merlintide.NoteCores,
-	"mem": merlintide.NoteMemory, "share": merlintide.NoteService, "tight": merlintide.NotePressure}
+var noteKinds = map[string]ravenhitch.NoteKind{"up": ravenhitch.NoteRuns, "cpu": ravenhitch.NoteCores,
+	"mem": ravenhitch.NoteMemory, "share": ravenhitch.NoteService, "tight": ravenhitch.NotePressure}
 
-var whys = map[string]merlintide.Why{"cpu_full": merlintide.WhyCores, "mem_full": merlintide.WhyMemory,
-	"busy": merlintide.WhyQueue, "wrong_host": merlintide.WhyNotHere, "oom": merlintide.WhyEvicted,
-	"preempted": merlintide.WhyPushedOut, "drained": merlintide.WhySentAway}
+var whys = map[string]ravenhitch.Why{"cpu_full": ravenhitch.WhyCores, "mem_full": ravenhitch.WhyMemory,
+	"busy": ravenhitch.WhyQueue, "wrong_host": ravenhitch.WhyNotHere, "oom": ravenhitch.WhyEvicted,
+	"preempted": ravenhitch.WhyPushedOut, "drained": ravenhitch.WhySentAway}
 
-var statuses = map[int]merlintide.Status{causeGivenUp: merlintide.OK, causeCancelled: merlintide.Cancelled,
-	causeFull: merlintide.Full, causeError: merlintide.Failed, causeMoot: merlintide.Moot}
+var statuses = map[int]ravenhitch.Status{causeGivenUp: ravenhitch.OK, causeCancelled: ravenhitch.Cancelled,
+	causeFull: ravenhitch.Full, causeError: ravenhitch.Failed, causeMoot: ravenhitch.Moot}
 
 func (nc *nodeConn) message(m *Message) {
 	n, id, now := nc.k.n, nc.k.id, nc.k.n.l.Now()
@@ -419,19 +419,19 @@
 		delete(nc.open, m.Tag)
 		st, ok := statuses[m.RC]
 		if !ok {
-			st = merlintide.Reset
+			st = ravenhitch.Reset
 		}
 		n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
 		nc.k.prune()
 	case verbNotice:
 		v, err := strconv.ParseFloat(m.Opt("value"), 64)
-		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil || kind == merlintide.NoteRuns) {
+		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil || kind == ravenhitch.NoteRuns) {
 			n.core.NodeNote(now, id, m.Tag, kind, v)
 		}
 	case verbEchoed:
-		st := merlintide.OK
+		st := ravenhitch.OK
 		if m.RC != 1 {
-			st = merlintide.Failed
+			st = ravenhitch.Failed
 		}
 		nc.probed(m.Tag, st, m.Opt("load"))
 	case verbEcho:
@@ -440,8 +440,8 @@
 }
 
 // report reads a load report.
-func report(load string) merlintide.Load {
-	l := merlintide.Load{X0: nan, X1: nan, Util: nan, Queue: nan}
+func report(load string) ravenhitch.Load {
+	l := ravenhitch.Load{X0: nan, X1: nan, Util: nan, Queue: nan}
 	for _, pair := range strings.FieldsFunc(load, func(r rune) bool { return r == ';' || r == ',' }) {
 		name, value, _ := strings.Cut(pair, ":")
 		v, err := strconv.ParseFloat(value, 64)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"merlintide"
+	"ravenhitch"
 )
 
 // conf holds the settings as they came. Reading keeps the first error.
@@ -75,14 +75,14 @@
 	return l
 }
 
-var effects = map[string]merlintide.Effect{
-	"free": merlintide.Safe, "guarded": merlintide.Keyed, "single_shot": merlintide.Unsafe}
+var effects = map[string]ravenhitch.Effect{
+	"free": ravenhitch.Safe, "guarded": ravenhitch.Keyed, "single_shot": ravenhitch.Unsafe}
 
-var scopes = map[string]merlintide.Scope{
-	"": merlintide.ScopeNone, "none": merlintide.ScopeNone, "machine": merlintide.ScopeMachine,
-	"cell": merlintide.ScopeCell, "zone": merlintide.ScopeZone, "all": merlintide.ScopeAll}
+var scopes = map[string]ravenhitch.Scope{
+	"": ravenhitch.ScopeNone, "none": ravenhitch.ScopeNone, "machine": ravenhitch.ScopeMachine,
+	"cell": ravenhitch.ScopeCell, "zone": ravenhitch.ScopeZone, "all": ravenhitch.ScopeAll}
 
-func (c *conf) scope(key, s string) merlintide.Scope {
+func (c *conf) scope(key, s string) ravenhitch.Scope {
 	v, ok := scopes[s]
 	if !ok {
 		c.bad(key, "none, machine, cell, zone or all")
@@ -91,16 +91,16 @@
 }
 
 // Settings reads the pairs of the Conf field. Unknown keys are skipped.
-func Settings(pairs []string) (merlintide.Settings, error) {
+func Settings(pairs []string) (ravenhitch.Settings, error) {
 	c := &conf{m: make(map[string]string, len(pairs))}
 	for _, p := range pairs {
 		k, v, ok := strings.Cut(p, "=")
 		if !ok {
-			return merlintide.Settings{}, fmt.Errorf("%w: expected path=value, got %.40q", ErrSetting, p)
+			return ravenhitch.Settings{}, fmt.Errorf("%w: expected path=value, got %.40q", ErrSetting, p)
 		}
 		c.m[k] = v
 	}
-	s := merlintide.Settings{
+	s := ravenhitch.Settings{
 		SelfIndex:       int(c.int("SelfIndex")),
 		FleetSize:       int(c.int("FleetSize")),
 		Zone:            c.m["Zone"],
@@ -136,7 +136,7 @@
 	return s, c.err
 }
 
-func (c *conf) kinds(s *merlintide.Settings) {
+func (c *conf) kinds(s *ravenhitch.Settings) {
 	names := c.list("Flavors")
 	cores, mem := c.nums("FamilyInfo.SizeCores"), c.nums("FamilyInfo.MemoryByKind")
 	if len(cores) != len(names) {
@@ -148,11 +148,11 @@
 		return
 	}
 	for i, n := range names {
-		s.Kinds = append(s.Kinds, merlintide.Kind{Name: n, Cores: cores[i], Memory: mem[i]})
+		s.Kinds = append(s.Kinds, ravenhitch.Kind{Name: n, Cores: cores[i], Memory: mem[i]})
 	}
 }
 
-func (c *conf) classes(s *merlintide.Settings) {
+func (c *conf) classes(s *ravenhitch.Settings) {
 	n := int(c.int("RequestClasses.count"))
 	if n < 0 || n > len(c.m) {
 		c.bad("RequestClasses.count", "the number of classes")
@@ -177,7 +177,7 @@
 		if !ok {
 			c.bad(p+"Semantics", "free, guarded or single_shot")
 		}
-		s.Classes = append(s.Classes, merlintide.Class{
+		s.Classes = append(s.Classes, ravenhitch.Class{
 			Name: c.m[p+"Name"], Effect: e, Group: c.scope(p+"Group", c.m[p+"Group"]),
 			WindowUs: c.int(p + "WindowUs"), AimUs: c.int(p + "OnTimeUs"), DeadlineUs: c.int(p + "DeadlineUs"),
 			Worth: c.num(p + "Importance"), StartS: start[i], Kind: int(kind[i]),
@@ -186,7 +186,7 @@
 	}
 }
 
-func (c *conf) tenants(s *merlintide.Settings) {
+func (c *conf) tenants(s *ravenhitch.Settings) {
 	n := int(c.int("Parties.count"))
 	if n <= 0 {
 		return
@@ -197,7 +197,7 @@
 		return
 	}
 	for i := range n {
-		s.Tenants = append(s.Tenants, merlintide.Tenant{
+		s.Tenants = append(s.Tenants, ravenhitch.Tenant{
 			Name: c.m[fmt.Sprintf("Parties.%d.Name", i)], ShareCores: share[i]})
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"strings"
 
-	"merlintide"
+	"ravenhitch"
 )
 
 // ItemKind says what an Item carries.
@@ -30,8 +30,8 @@
 	Kind     ItemKind
 	Inst     int
 	Seed     uint64
-	Settings merlintide.Settings
-	Event    merlintide.Event
+	Settings ravenhitch.Settings
+	Event    ravenhitch.Event
 }
 
 // Batch is what happened at one moment.
@@ -57,7 +57,7 @@
 // Decoder reads batches.
 type Decoder struct {
 	r     *bufio.Reader
-	pages [16][]merlintide.Entry
+	pages [16][]ravenhitch.Entry
 	known [16]bool
 	line  int
 	seq   string
@@ -158,7 +158,7 @@
 	if page < 0 || int(page) >= len(d.pages) || n < 0 {
 		return fmt.Errorf("SNAPSHOT_ROWS: page %d with %d entries is out of range", page, n)
 	}
-	var list []merlintide.Entry
+	var list []ravenhitch.Entry
 	for range n {
 		s, err := d.readLine()
 		if err != nil {
@@ -171,11 +171,11 @@
 		if r.next() != "ROW" {
 			return fmt.Errorf("expected ROW, got %.40q", s)
 		}
-		var e merlintide.Entry
+		var e ravenhitch.Entry
 		e.Cell, e.StartUs = int(r.int("Pack")), r.int("StartTimeUs")
 		e.Machine, e.Kind, e.Zone = r.text("Machine"), r.next(), r.next()
 		r.num("PowerHint")
-		e.State = merlintide.State(r.int("StageState"))
+		e.State = ravenhitch.State(r.int("StageState"))
 		e.SpareMem, e.SpareCores = r.num("UnaskedMemory"), r.num("SpareCpu")
 		if err := r.end(); err != nil {
 			return fmt.Errorf("ROW: %w", err)
@@ -201,11 +201,11 @@
 		kind := f.int("Scope")
 		f.next()
 		page := f.next()
-		e := merlintide.List{Kind: merlintide.ListKind(kind)}
+		e := ravenhitch.List{Kind: ravenhitch.ListKind(kind)}
 		if kind < 0 || kind > 3 {
 			return fmt.Errorf("Scope %d is unknown", kind)
 		}
-		if e.Kind != merlintide.ListFailed {
+		if e.Kind != ravenhitch.ListFailed {
 			n, err := strconv.Atoi(page)
 			if err != nil || n < 0 || n >= len(d.pages) || !d.known[n] {
 				return fmt.Errorf("list page %.20q was never sent", page)
@@ -216,7 +216,7 @@
 		return nil
 	},
 	"REQUEST": func(_ *Decoder, f *fields, it *Item) error {
-		var t merlintide.Task
+		var t ravenhitch.Task
 		t.Ticket, t.Workload = f.text("Ticket"), f.uint("Workload")
 		t.DeadlineUs = f.int("DeadlineUs")
 		t.Cores, t.Mem = f.num("WantCores"), f.num("MemNeeded")
@@ -224,11 +224,11 @@
 		bits := f.int("StateBits")
 		t.Hinted, t.Again = bits&1 != 0, bits&16 != 0
 		t.Tenant, t.Program = f.next(), f.uint("Program")
-		it.Event = merlintide.Request{Task: t}
+		it.Event = ravenhitch.Request{Task: t}
 		return nil
 	},
 	"EXISTING": func(_ *Decoder, f *fields, it *Item) error {
-		var e merlintide.Existing
+		var e ravenhitch.Existing
 		e.Ticket, e.Machine = f.text("Ticket"), f.text("Machine")
 		bits := f.int("StateBits")
 		e.Hinted, e.Again = bits&1 != 0, bits&16 != 0
@@ -240,35 +240,35 @@
 		return nil
 	},
 	"ACCEPTED": func(_ *Decoder, f *fields, it *Item) error {
-		it.Event = merlintide.Accepted{Ticket: f.text("Ticket"), Attempt: int(f.int("Copy")),
+		it.Event = ravenhitch.Accepted{Ticket: f.text("Ticket"), Attempt: int(f.int("Copy")),
 			Machine: f.text("Machine"), RTTUs: f.int("RttUs")}
 		return nil
 	},
 	"DONE": func(_ *Decoder, f *fields, it *Item) error {
-		e := merlintide.Done{Ticket: f.text("Ticket"), Why: merlintide.Why(f.int("Info"))}
+		e := ravenhitch.Done{Ticket: f.text("Ticket"), Why: ravenhitch.Why(f.int("Info"))}
 		e.Closed, e.RTTUs = f.int("Closed") == 1, f.int("RttUs")
-		e.Status, e.Attempt = merlintide.Status(f.int("StateCode")), int(f.int("Copy"))
+		e.Status, e.Attempt = ravenhitch.Status(f.int("StateCode")), int(f.int("Copy"))
 		e.Machine = f.text("Machine")
 		f.load()
 		it.Event = e
 		return nil
 	},
 	"PROGRESS": func(_ *Decoder, f *fields, it *Item) error {
-		it.Event = merlintide.Note{Ticket: f.text("Ticket"), Attempt: int(f.int("Copy")),
-			Machine: f.text("Machine"), Kind: merlintide.NoteKind(f.int("What")), Value: f.num("Value")}
+		it.Event = ravenhitch.Note{Ticket: f.text("Ticket"), Attempt: int(f.int("Copy")),
+			Machine: f.text("Machine"), Kind: ravenhitch.NoteKind(f.int("What")), Value: f.num("Value")}
 		return nil
 	},
 	"SAMPLED": func(_ *Decoder, f *fields, it *Item) error {
-		it.Event = merlintide.Sampled{Machine: f.text("Machine"), Status: merlintide.Status(f.int("StateCode")),
+		it.Event = ravenhitch.Sampled{Machine: f.text("Machine"), Status: ravenhitch.Status(f.int("StateCode")),
 			RTTUs: f.int("RttUs"), Load: f.load()}
 		return nil
 	},
 	"BELL": func(_ *Decoder, f *fields, it *Item) error {
-		it.Event = merlintide.Bell{Ref: f.text("Ref")}
+		it.Event = ravenhitch.Bell{Ref: f.text("Ref")}
 		return nil
 	},
 	"TIMED_OUT_CLIENT": func(_ *Decoder, f *fields, it *Item) error {
-		it.Event = merlintide.ClientGone{Ticket: f.text("Ticket")}
+		it.Event = ravenhitch.ClientGone{Ticket: f.text("Ticket")}
 		return nil
 	},
 	"DATAGRAM": func(_ *Decoder, f *fields, it *Item) error {
@@ -355,9 +355,9 @@
 }
 
 // load reads a load report.
-func (f *fields) load() merlintide.Load {
+func (f *fields) load() ravenhitch.Load {
 	nan := math.NaN()
-	l := merlintide.Load{X0: nan, X1: nan, Util: nan, Queue: nan}
+	l := ravenhitch.Load{X0: nan, X1: nan, Util: nan, Queue: nan}
 	s := f.next()
 	if s == "" {
 		return l
@@ -392,7 +392,7 @@
 }
 
 // Actions writes the actions of one instance.
-func (e *Encoder) Actions(inst int, actions []merlintide.Action) error {
+func (e *Encoder) Actions(inst int, actions []ravenhitch.Action) error {
 	for _, a := range actions {
 		if err := e.action(inst, a); err != nil {
 			return err
@@ -401,31 +401,31 @@
 	return nil
 }
 
-func (e *Encoder) action(inst int, a merlintide.Action) (err error) {
+func (e *Encoder) action(inst int, a ravenhitch.Action) (err error) {
 	switch a := a.(type) {
-	case merlintide.Place:
+	case ravenhitch.Place:
 		_, err = fmt.Fprintf(e.w, "PLACE %d %s %s %d\n", inst, a.Ticket, a.Machine, a.AbandonAtUs)
-	case merlintide.Deny:
+	case ravenhitch.Deny:
 		_, err = fmt.Fprintf(e.w, "DENY %d %s %d\n", inst, a.Ticket, a.RetryInUs)
-	case merlintide.Error:
+	case ravenhitch.Error:
 		_, err = fmt.Fprintf(e.w, "ERROR %d %s\n", inst, a.Ticket)
-	case merlintide.Move:
+	case ravenhitch.Move:
 		_, err = fmt.Fprintf(e.w, "MOVE %d %s\n", inst, a.Ticket)
-	case merlintide.AskLoad:
+	case ravenhitch.AskLoad:
 		_, err = fmt.Fprintf(e.w, "ASK_LOAD %d %s\n", inst, a.Machine)
-	case merlintide.Observe:
+	case ravenhitch.Observe:
 		on := 0
 		if a.Active {
 			on = 1
 		}
 		_, err = fmt.Fprintf(e.w, "OBSERVE %d %d\n", inst, on)
-	case merlintide.Refresh:
+	case ravenhitch.Refresh:
 		_, err = fmt.Fprintf(e.w, "REFRESH %d\n", inst)
-	case merlintide.Cancel:
+	case ravenhitch.Cancel:
 		_, err = fmt.Fprintf(e.w, "CANCEL %d %s %d\n", inst, a.Ticket, a.Attempt)
-	case merlintide.SetAlarm:
+	case ravenhitch.SetAlarm:
 		_, err = fmt.Fprintf(e.w, "SET_ALARM %d %d %s\n", inst, a.OffsetUs, a.Ref)
-	case merlintide.SayLog:
+	case ravenhitch.SayLog:
 		_, err = fmt.Fprintf(e.w, "SAY_LOG %d %s\n", inst, oneLine(a.Text))
 	default:
 		err = fmt.Errorf("cannot write action %T", a)
--- a/placer.go
+++ b/placer.go
@@ -1,4 +1,4 @@
-package merlintide
+package ravenhitch
 
 // This module holds every decision. Its interface (settings, events and
 // actions) is in api.go. Order of reading: constants, events, the view and own
--- a/placer_test.go
+++ b/placer_test.go
@@ -1,4 +1,4 @@
-package merlintide
+package ravenhitch
 
 import (
 	"fmt"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package merlintide
+package ravenhitch
 
 // This file is bookkeeping for placer.go: what is remembered, and how it is
 // looked up and let go. It decides nothing.
@@ -121,7 +121,7 @@
 // New returns a placer. It reports what is missing or contradictory in s.
 func New(s Settings, seed uint64) (*Placer, error) {
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("merlintide: %w", err)
+		return nil, fmt.Errorf("ravenhitch: %w", err)
 	}
 	p := &Placer{
 		s: s, rng: rand.New(rand.NewPCG(seed, uint64(s.SelfIndex))), classes: map[string]int{},
