Add the gRPC front: streamed offers and bindings on the same core

Offers come in by Place or on a Session; both go through internal/core, so the same decisions and guards apply as to the platform's requests. A session outlives its stream: whatever was not acknowledged is sent again, and a repeat of an offer or of its task gets the binding that stands. The core keeps the last words on repeatable set-ups, so a repeat after the end starts nothing.

The front is off unless deploy/edge.json names an address. Tests play identical traffic on both fronts against stand-in minions and a stand-in command channel and compare outcomes, counts and the offers that reach a draining minion.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -6,8 +6,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -16,6 +18,7 @@
 
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/core"
+	"ravenhitch/internal/grpcfront"
 	"ravenhitch/internal/loop"
 	"ravenhitch/internal/platform"
 )
@@ -29,17 +32,21 @@
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
+	// socketsDefault holds where the configuration names no limit.
+	socketsDefault = 1024
 )
 
 func main() {
+	edge := flag.String("edge", "deploy/edge.json", "file that says which further protocols are on")
+	flag.Parse()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if err := run(*edge, log); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenhitch:", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *slog.Logger) error {
+func run(edgePath string, log *slog.Logger) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	if path == "" {
 		return errors.New("ROUTER_CONFIG is not set")
@@ -54,71 +61,130 @@
 	if v := os.Getenv("ROUTER_NAME"); v != "" {
 		cfg.Name = v
 	}
-	log = log.With("name", cfg.Name)
+	edge, err := config.LoadEdge(edgePath)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(1)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 6 / 10)
 	}
+	p, err := start(cfg, edge, log.With("name", cfg.Name))
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		p.Stop()
+	}()
+	return p.Run()
+}
+
+// program is one orchestrator, its parts joined.
+type program struct {
+	log   *slog.Logger
+	l     *loop.Loop
+	c     *core.Core
+	nodes *platform.Nodes
+	addr  string // of the platform's front
+	grpc  *grpcfront.Front
+	gaddr string // of the gRPC front, "" where that is off
+}
+
+// start joins the parts and begins to listen; Run serves.
+func start(cfg config.Config, edge config.Edge, log *slog.Logger) (p *program, err error) {
 	sockets := int(cfg.Sockets)
 	if sockets <= 0 {
-		sockets = 1024
+		sockets = socketsDefault
 	}
-	l, err := loop.New(max(16, sockets-spareSockets))
-	if err != nil {
-		return err
+	budget := sockets - spareSockets
+	if edge.GRPCListen != "" {
+		budget -= grpcfront.Conns + 1
 	}
-	defer l.Close()
-	nodes := platform.NewNodes(l, cfg.DialTimeoutUs, log)
-	c, err := core.New(cfg.Settings, cfg.Seed, nodes, log)
-	if err != nil {
-		return err
+	if budget < 16 {
+		return nil, fmt.Errorf("a limit of %d sockets is too low", sockets)
 	}
-	nodes.Use(c)
-	front := platform.NewFront(l, c, sockets/2, log)
-	channel := platform.NewChannel(l, c, nodes, cfg.Channel, cfg.DialTimeoutUs, log)
+	p = &program{log: log}
+	if p.l, err = loop.New(budget); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			p.l.Close()
+		}
+	}()
+	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, log)
+	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, log); err != nil {
+		return nil, err
+	}
+	p.nodes.Use(p.c)
+	front := platform.NewFront(p.l, p.c, budget/2, log)
+	channel := platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	channel.Apply(cfg.Known, true)
 	channel.Start()
-	addr, err := front.Listen(cfg.Listen)
-	if err != nil {
-		return err
+	if p.addr, err = front.Listen(cfg.Listen); err != nil {
+		return nil, err
 	}
-	log.Info("serving", "listen", addr, "known", cfg.Known.Cursor)
+	if edge.GRPCListen != "" {
+		ln, err := net.Listen("tcp", edge.GRPCListen)
+		if err != nil {
+			return nil, fmt.Errorf("grpc: %w", err)
+		}
+		p.gaddr = ln.Addr().String()
+		p.grpc = grpcfront.New(p.l, p.c)
+		go func() {
+			if err := p.grpc.Serve(ln); err != nil {
+				log.Error("the gRPC front ended", "err", err)
+			}
+		}()
+	}
+	log.Info("serving", "listen", p.addr, "grpc", p.gaddr, "known", cfg.Known.Cursor)
+	return p, nil
+}
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		l.Post(func() {
-			log.Info("told to end", "open", c.Open(), "standing", c.Standing())
-			end(l, c, l.Now())
-		})
-	}()
+// Stop makes Run end once what was taken is answered. It may be called from any
+// goroutine.
+func (p *program) Stop() {
+	p.l.Post(func() {
+		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing())
+		p.end(p.l.Now())
+	})
+}
+
+// Run serves until Stop.
+func (p *program) Run() error {
+	defer p.l.Close()
 	var timer *loop.Timer
 	var due int64
-	err = l.Run(func(now int64) {
-		nodes.Gather()
-		c.Turn(now)
-		if next := c.Next(); next != due || !timer.Pending() {
+	err := p.l.Run(func(now int64) {
+		p.nodes.Gather()
+		p.c.Turn(now)
+		if next := p.c.Next(); next != due || !timer.Pending() {
 			timer.Stop()
 			if due = next; due > 0 {
-				timer = l.At(due, func() {})
+				timer = p.l.At(due, func() {})
 			}
 		}
 	})
-	log.Info("ended", "counts", fmt.Sprintf("%+v", c.Counts()))
+	if p.grpc != nil {
+		p.grpc.Close()
+	}
+	p.log.Info("ended", "counts", fmt.Sprintf("%+v", p.c.Counts()))
 	return err
 }
 
 // end keeps serving while requests still come, then ends once nothing is open,
 // and answers what is left before the kill comes.
-func end(l *loop.Loop, c *core.Core, since int64) {
-	switch age := l.Now() - since; {
+func (p *program) end(since int64) {
+	switch age := p.l.Now() - since; {
 	case age >= lastCall:
-		c.Quit(l.Now())
-		l.Stop()
-	case age >= stillComing && c.Open() == 0:
-		l.Stop()
+		p.c.Quit(p.l.Now())
+		p.l.Stop()
+	case age >= stillComing && p.c.Open() == 0:
+		p.l.Stop()
 	default:
-		l.After(10_000, func() { end(l, c, since) })
+		p.l.After(10_000, func() { p.end(since) })
 	}
 }
--- /dev/null
+++ b/cmd/ravenhitch/main_test.go
@@ -0,0 +1,459 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/grpcfront/edgepb"
+)
+
+func (w *world) client(t *testing.T) edgepb.OrchestratorClient {
+	c, err := grpc.NewClient(w.gaddr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return edgepb.NewOrchestratorClient(c)
+}
+
+func offer(id, class, task string, waitMs uint32) *edgepb.Offer {
+	return &edgepb.Offer{OfferId: id, Task: task, Class: class, Cores: 1, Memory: 2, Service: "b4d65521",
+		Description: "about " + task, WaitMs: waitMs}
+}
+
+func tag(n int) string { return fmt.Sprintf("%016x", n) }
+
+// session is a stand-in client with a stream.
+type session struct {
+	edgepb.Orchestrator_SessionClient
+	drop context.CancelFunc
+	got  chan *edgepb.ServerMessage
+	err  error // after got is closed
+}
+
+func (w *world) session(t *testing.T, name string, seen uint64) *session {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	st, err := w.client(t).Session(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &session{Orchestrator_SessionClient: st, drop: cancel, got: make(chan *edgepb.ServerMessage, 1000)}
+	if err := st.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Open{
+		Open: &edgepb.Open{Session: name, Seen: seen}}}); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(s.got)
+		for {
+			m, err := st.Recv()
+			if err != nil {
+				s.err = err
+				return
+			}
+			s.got <- m
+		}
+	}()
+	return s
+}
+
+func (s *session) offer(t *testing.T, o *edgepb.Offer) {
+	t.Helper()
+	if err := s.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Offer{Offer: o}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (s *session) release(t *testing.T, id string) {
+	t.Helper()
+	if err := s.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Release{
+		Release: &edgepb.ReleaseRequest{OfferId: id}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// on runs f on the loop and waits for it.
+func (w *world) on(t *testing.T, f func()) {
+	t.Helper()
+	done := make(chan struct{}, 1)
+	w.l.Post(func() { f(); done <- struct{}{} })
+	wait(t, "the loop", done)
+}
+
+func (w *world) counts(t *testing.T) (c core.Counts) {
+	w.on(t, func() { c = w.c.Counts() })
+	return c
+}
+
+// The same offers, ends and drain on either front give the same outcomes, counts
+// and drain.
+func TestSameOnBothFronts(t *testing.T) {
+	kinds := []string{"ok-1", "full-1", "ok-2", "error-1", "ok-3", "silent-1", "reset-1", "ok-4"}
+	play := func(t *testing.T, w *world, place func(n int, class, task string) string, next func() string) ([]string, core.Counts, []int) {
+		var outcomes []string
+		n := 0
+		for _, class := range []string{"guide-web", "archive-cut"} {
+			for _, task := range kinds {
+				n++
+				outcomes = append(outcomes, task+" "+place(n, class, fmt.Sprintf("%s-%s", task, class)))
+			}
+		}
+		// Every bound task comes to its end, each with its own cause.
+		for i, rc := range []int{16, 41} {
+			w.minions[0].end(tag([]int{1, 3}[i]), rc)
+			outcomes = append(outcomes, next())
+		}
+		// One minion drains: what is offered from then on goes to the other only.
+		w.feed.add(false, w.minions[0].member("draining"))
+		w.feed.heard(t)
+		before := len(w.minions[0].starts)
+		for i := range 10 {
+			outcomes = append(outcomes, place(100+i, "guide-web", fmt.Sprintf("ok-drain-%d", i)))
+		}
+		return outcomes, w.counts(t), []int{len(w.minions[0].starts) - before, len(w.minions[1].starts)}
+	}
+	// The second minion comes with the drain, so that the first takes all before it.
+	prepare := func(t *testing.T) *world {
+		w := newWorld(t, "a")
+		w.minions = append(w.minions, newMinion(t, "b"))
+		return w
+	}
+	var outcomes [2][]string
+	var counts [2]core.Counts
+	var drains [2][]int
+	t.Run("json lines", func(t *testing.T) {
+		w := prepare(t)
+		o := w.owner(t)
+		outcomes[0], counts[0], drains[0] = play(t, w, func(n int, class, task string) string {
+			if n == 100 {
+				w.feed.add(false, w.minions[1].member("up"))
+				w.feed.heard(t)
+			}
+			send(o, setUp(tag(n), class, task, 700))
+			l := wait(t, task, o.lines)
+			switch {
+			case l.Verb == "STARTED":
+				return "bound: " + *l.Blob
+			case l.rc() == 34:
+				return "refused"
+			}
+			return "failed"
+		}, func() string {
+			if l := wait(t, "an end", o.lines); l.rc() == 16 {
+				return l.Tag + " done"
+			} else {
+				return l.Tag + " lost"
+			}
+		})
+	})
+	t.Run("grpc", func(t *testing.T) {
+		w := prepare(t)
+		s := w.session(t, "s", 0)
+		outcomes[1], counts[1], drains[1] = play(t, w, func(n int, class, task string) string {
+			if n == 100 {
+				w.feed.add(false, w.minions[1].member("up"))
+				w.feed.heard(t)
+			}
+			s.offer(t, offer(tag(n), class, task, 700))
+			m := wait(t, task, s.got)
+			switch {
+			case m.GetBinding() != nil:
+				return "bound: " + m.GetBinding().GetDescription()
+			case codes.Code(m.GetRejection().GetCode()) == codes.ResourceExhausted:
+				return "refused"
+			}
+			return "failed"
+		}, func() string {
+			if e := wait(t, "an end", s.got).GetEnded(); e.GetHow() == edgepb.Ended_HOW_DONE {
+				return e.GetOfferId() + " done"
+			} else {
+				return e.GetOfferId() + " lost"
+			}
+		})
+	})
+	if t.Failed() {
+		return
+	}
+	if !slices.Equal(outcomes[0], outcomes[1]) {
+		t.Errorf("outcomes differ:\n%q\n%q", outcomes[0], outcomes[1])
+	}
+	if counts[0] != counts[1] {
+		t.Errorf("counts differ:\n%+v\n%+v", counts[0], counts[1])
+	}
+	if !slices.Equal(drains[0], drains[1]) || drains[0][0] != 0 || drains[0][1] != 10 {
+		t.Errorf("offers to the draining minion and to the other: %v and %v", drains[0], drains[1])
+	}
+}
+
+// A binding that was sent and never read is given again, and the task starts once.
+func TestBindingUnread(t *testing.T) {
+	w := newWorld(t, "a")
+	first := w.session(t, "s", 0)
+	first.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
+	binding := wait(t, "the binding", first.got).GetBinding()
+	first.drop() // the client never looked at it
+	for range first.got {
+	}
+	again := w.session(t, "s", 0)
+	if got := wait(t, "the binding once more", again.got); got.GetBinding().GetDescription() != binding.GetDescription() {
+		t.Errorf("after the resume came %v", got)
+	}
+	// A repeat of the offer, and a new offer of the same task, are bound to the same.
+	again.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
+	again.offer(t, offer(tag(2), "archive-cut", "ok-cut", 5000))
+	other := w.session(t, "another", 0)
+	other.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
+	for i, s := range []*session{again, again, other} {
+		if got := wait(t, "a repeat's answer", s.got).GetBinding(); got.GetDescription() != binding.GetDescription() ||
+			got.GetNode() != "a" {
+			t.Errorf("repeat %d got %v", i, got)
+		}
+	}
+	w.minions[0].end(tag(1), 16)
+	if e := wait(t, "the end", other.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_DONE {
+		t.Errorf("the end is %v", e)
+	}
+	// A repeat that comes after the end starts nothing either.
+	other.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
+	if r := wait(t, "the late repeat's answer", other.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
+		t.Errorf("the late repeat got %v", r)
+	}
+	if n := w.minions[0].counted("ok-cut"); n != 1 {
+		t.Errorf("the task was started %d times", n)
+	}
+}
+
+// An offer stays in while its session has no stream, and its answer is kept.
+func TestAnswerWhileAway(t *testing.T) {
+	w := newWorld(t, "a")
+	first := w.session(t, "s", 0)
+	first.offer(t, offer(tag(1), "guide-web", "silent-x", 600))
+	wait(t, "the offer", w.minions[0].starts)
+	first.drop()
+	for range first.got {
+	}
+	again := w.session(t, "s", 0)
+	if r := wait(t, "the answer", again.got).GetRejection(); codes.Code(r.GetCode()) != codes.ResourceExhausted {
+		t.Errorf("the answer is %v", r)
+	}
+}
+
+// Both fronts offer tasks of one service while a minion drains: what stood there
+// ends on the front that it came by, and nothing new goes there.
+func TestDrainUnderBothFronts(t *testing.T) {
+	w := newWorld(t, "a")
+	o, s := w.owner(t), w.session(t, "s", 0)
+	send(o, setUp(tag(1), "guide-web", "ok-j0", 5000))
+	s.offer(t, offer(tag(2), "guide-web", "ok-g0", 5000))
+	wait(t, "an answer", o.lines)
+	wait(t, "a binding", s.got)
+	b := newMinion(t, "b")
+	w.feed.add(false, b.member("up"), w.minions[0].member("draining"))
+	w.feed.heard(t)
+	before := len(w.minions[0].starts)
+	for i := range 8 {
+		send(o, setUp(tag(10+i), "guide-web", fmt.Sprintf("ok-j%d", i+1), 5000))
+		s.offer(t, offer(tag(30+i), "guide-web", fmt.Sprintf("ok-g%d", i+1), 5000))
+	}
+	w.minions[0].end(tag(1), 41)
+	w.minions[0].end(tag(2), 41)
+	started, ended := 0, 0
+	for started+ended < 9 {
+		if l := wait(t, "json lines", o.lines); l.Verb == "STARTED" {
+			started++
+		} else if l.Tag == tag(1) && l.rc() == 41 {
+			ended++
+		}
+	}
+	for started+ended < 18 {
+		if m := wait(t, "grpc", s.got); m.GetBinding().GetNode() == "b" {
+			started++
+		} else if m.GetEnded().GetOfferId() == tag(2) && m.GetEnded().GetHow() == edgepb.Ended_HOW_LOST {
+			ended++
+		}
+	}
+	if started != 16 || ended != 2 || len(w.minions[0].starts) != before || len(b.starts) != 16 {
+		t.Errorf("%d bound, %d ended, %d offers to the draining minion", started, ended, len(w.minions[0].starts)-before)
+	}
+}
+
+// Refusals, failures, bad offers, deadlines and cancellation are status codes.
+func TestStatusCodes(t *testing.T) {
+	w := newWorld(t, "a")
+	c := w.client(t)
+	long := make([]byte, 9000)
+	for i := range long {
+		long[i] = 'x'
+	}
+	edit := func(o *edgepb.Offer, f func(o *edgepb.Offer)) *edgepb.Offer { f(o); return o }
+	for _, x := range []struct {
+		name string
+		o    *edgepb.Offer
+		want codes.Code
+	}{
+		{"bound", offer(tag(1), "guide-web", "ok-1", 0), codes.OK},
+		{"refused", offer(tag(2), "guide-web", "full-1", 0), codes.ResourceExhausted},
+		{"failed", offer(tag(3), "archive-cut", "error-1", 0), codes.Unknown},
+		{"bad id", offer("12", "guide-web", "ok-2", 0), codes.InvalidArgument},
+		{"no task", offer(tag(4), "guide-web", "", 0), codes.InvalidArgument},
+		{"unknown class", offer(tag(5), "nightly", "ok-3", 0), codes.InvalidArgument},
+		{"no size", edit(offer(tag(6), "guide-web", "ok-4", 0), func(o *edgepb.Offer) { o.Cores, o.Memory = 0, 0 }), codes.InvalidArgument},
+		{"a negative size", edit(offer(tag(7), "guide-web", "ok-5", 0), func(o *edgepb.Offer) { o.Cores = -1 }), codes.InvalidArgument},
+		{"bad service", edit(offer(tag(8), "guide-web", "ok-6", 0), func(o *edgepb.Offer) { o.Service = "x" }), codes.InvalidArgument},
+		{"long description", edit(offer(tag(9), "guide-web", "ok-7", 0), func(o *edgepb.Offer) { o.Description = string(long) }), codes.InvalidArgument},
+		{"never fits", edit(offer(tag(10), "guide-web", "ok-8", 0), func(o *edgepb.Offer) { o.Cores = 1000 }), codes.ResourceExhausted},
+		{"another task's id", offer(tag(1), "guide-web", "ok-9", 0), codes.AlreadyExists},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			_, err := c.Place(ctx, x.o)
+			if status.Code(err) != x.want {
+				t.Fatalf("got %v, expected %v", err, x.want)
+			}
+			for _, d := range status.Convert(err).Details() {
+				switch d := d.(type) {
+				case *errdetails.RetryInfo:
+					if d.GetRetryDelay().AsDuration() <= 0 || x.want != codes.ResourceExhausted {
+						t.Errorf("the advice is %v", d)
+					}
+				case *errdetails.BadRequest:
+					if len(d.GetFieldViolations()) != 1 || x.want != codes.InvalidArgument {
+						t.Errorf("the violations are %v", d)
+					}
+				}
+			}
+			if n := len(status.Convert(err).Details()); n != 1 && (x.want == codes.InvalidArgument || x.want == codes.ResourceExhausted) {
+				t.Errorf("%d details", n)
+			}
+		})
+	}
+	if n := w.minions[0].counted("error-1"); n != 1 {
+		t.Errorf("a task that must not start twice was offered %d times after an error", n)
+	}
+	t.Run("deadline", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := c.Place(ctx, offer(tag(20), "archive-cut", "silent-1", 0))
+		if code := status.Code(err); code != codes.Unknown && code != codes.DeadlineExceeded || time.Since(began) > 5*time.Second {
+			t.Errorf("got %v", err)
+		}
+		if l := wait(t, "the give-up", w.minions[0].ends); l.Tag != tag(20) || l.rc() != 16 {
+			t.Errorf("the minion got %v", l)
+		}
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		for len(w.minions[0].starts) > 0 {
+			<-w.minions[0].starts
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		errs := make(chan error, 1)
+		go func() {
+			_, err := c.Place(ctx, offer(tag(21), "archive-cut", "silent-2", 0))
+			errs <- err
+		}()
+		for wait(t, "the offer", w.minions[0].starts).Tag != tag(21) {
+		}
+		cancel()
+		if err := wait(t, "the call's end", errs); status.Code(err) != codes.Canceled {
+			t.Errorf("got %v", err)
+		}
+		if l := wait(t, "the give-up", w.minions[0].ends); l.Tag != tag(21) || l.rc() != 16 {
+			t.Errorf("the minion got %v", l)
+		}
+	})
+	t.Run("release", func(t *testing.T) {
+		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(1)}); err != nil {
+			t.Error(err)
+		}
+		if l := wait(t, "the release", w.minions[0].ends); l.Tag != tag(1) {
+			t.Errorf("the minion got %v", l)
+		}
+		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(99)}); status.Code(err) != codes.NotFound {
+			t.Errorf("got %v", err)
+		}
+	})
+	t.Run("no open", func(t *testing.T) {
+		st, err := c.Session(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Ack{Ack: 1}})
+		if _, err := st.Recv(); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// Offers, releases and the end of a session over its stream.
+func TestSession(t *testing.T) {
+	w := newWorld(t, "a")
+	s := w.session(t, "s", 0)
+	s.offer(t, offer("nonsense", "guide-web", "ok-0", 0))
+	if r := wait(t, "a bad offer's answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.InvalidArgument {
+		t.Errorf("a bad offer got %v", r)
+	}
+	s.offer(t, offer(tag(1), "guide-web", "full-1", 0))
+	if r := wait(t, "a refusal", s.got).GetRejection(); r.GetRetryAfterMs() == 0 {
+		t.Errorf("a refusal without advice: %v", r)
+	}
+	s.offer(t, offer(tag(2), "guide-web", "silent-1", 5000))
+	s.release(t, tag(2))
+	if r := wait(t, "the withdrawal", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.Canceled {
+		t.Errorf("a withdrawn offer got %v", r)
+	}
+	s.offer(t, offer(tag(3), "guide-web", "ok-1", 0))
+	wait(t, "a binding", s.got)
+	s.release(t, tag(3))
+	if e := wait(t, "the end", s.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_RELEASED {
+		t.Errorf("a released task ended with %v", e)
+	}
+	s.offer(t, offer(tag(4), "guide-web", "ok-2", 0))
+	if err := s.CloseSend(); err != nil {
+		t.Fatal(err)
+	}
+	if m := wait(t, "the last answer", s.got); m.GetBinding() == nil || m.GetNumber() != 6 {
+		t.Errorf("the last answer is %v", m)
+	}
+	for range s.got {
+	}
+	if !errors.Is(s.err, io.EOF) {
+		t.Errorf("the stream ended with %v", s.err)
+	}
+}
+
+// After the word to end, new owners are still served, and the program ends well
+// once nothing is open.
+func TestStop(t *testing.T) {
+	w := newWorld(t, "a")
+	early := w.owner(t)
+	send(early, setUp(tag(1), "guide-web", "silent-1", 1200))
+	wait(t, "the offer", w.minions[0].starts)
+	w.Stop()
+	w.on(t, func() {}) // the word was heard
+	late := w.owner(t)
+	send(late, setUp(tag(2), "guide-web", "ok-1", 5000))
+	if l := wait(t, "the late owner's answer", late.lines); l.Verb != "STARTED" {
+		t.Errorf("the late owner got %v", l)
+	}
+	if l := wait(t, "the early owner's answer", early.lines); l.Verb != "FINISH" || l.Tag != tag(1) {
+		t.Errorf("the early owner got %v", l)
+	}
+	if err := wait(t, "the end", w.over); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -200,3 +200,101 @@
 	}
 	return m, nil
 }
+
+// Edge is what a file of the project's own says of the further protocols; each
+// is off where its address is empty.
+type Edge struct {
+	GRPCListen string
+	Graphite   Metrics
+	Collectd   Metrics
+}
+
+// Metrics says where figures go, and how often.
+type Metrics struct {
+	Address string
+	Prefix  string
+	EveryMs int64
+}
+
+// LoadEdge reads the edge file. Where there is none, everything is off.
+func LoadEdge(path string) (Edge, error) {
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return Edge{}, nil
+	}
+	if err != nil {
+		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	e, err := ParseEdge(b)
+	if err != nil {
+		return Edge{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return e, nil
+}
+
+// ParseEdge reads an edge file's text. A key that is not known is an error: a
+// misspelt one would silently leave its protocol off.
+func ParseEdge(b []byte) (Edge, error) {
+	if !gjson.ValidBytes(b) || !gjson.ParseBytes(b).IsObject() {
+		return Edge{}, fmt.Errorf("%w: expected a JSON object", ErrConfig)
+	}
+	var e Edge
+	var err error
+	fail := func(key, want string) {
+		if err == nil {
+			err = fmt.Errorf("%w: %s: expected %s", ErrConfig, key, want)
+		}
+	}
+	metrics := func(name string, m *Metrics) func(k, v gjson.Result) bool {
+		m.EveryMs, m.Prefix = 10_000, "ravenhitch"
+		return func(k, v gjson.Result) bool {
+			switch k.String() {
+			case "address":
+				m.Address = v.String()
+				if v.Type != gjson.String {
+					fail(name+".address", "text")
+				}
+			case "prefix":
+				m.Prefix = v.String()
+				if m.Prefix == "" || strings.ContainsAny(m.Prefix, " \t\r\n/\"") {
+					fail(name+".prefix", "a name without spaces, slashes or quotes")
+				}
+			case "every_ms":
+				if m.EveryMs = v.Int(); v.Type != gjson.Number || m.EveryMs < 100 || m.EveryMs > 3_600_000 {
+					fail(name+".every_ms", "100 to 3600000")
+				}
+			default:
+				fail(name+"."+k.String(), "address, prefix or every_ms")
+			}
+			return true
+		}
+	}
+	gjson.ParseBytes(b).ForEach(func(k, v gjson.Result) bool {
+		switch name := k.String(); name {
+		case "grpc":
+			v.ForEach(func(k, v gjson.Result) bool {
+				if e.GRPCListen = v.String(); k.String() != "listen" {
+					fail("grpc."+k.String(), "listen")
+				}
+				return true
+			})
+		case "graphite":
+			v.ForEach(metrics(name, &e.Graphite))
+		case "collectd":
+			v.ForEach(metrics(name, &e.Collectd))
+		default:
+			fail(name, "grpc, graphite or collectd")
+		}
+		return true
+	})
+	if _, bad := netip.ParseAddrPort(e.GRPCListen); e.GRPCListen != "" && bad != nil {
+		fail("grpc.listen", "address:port")
+	}
+	if _, bad := netip.ParseAddrPort(e.Graphite.Address); e.Graphite.Address != "" && bad != nil {
+		fail("graphite.address", "address:port")
+	}
+	if a := e.Collectd.Address; a != "" && a[0] != '/' {
+		fail("collectd.address", "the absolute path of a Unix socket")
+	}
+	return e, err
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"log/slog"
@@ -32,6 +33,8 @@
 	sweepEvery  = 500_000
 	// drainMargin is how long before the drain limit offers end here.
 	drainMargin = 500_000
+	// pastMost bounds the final words kept for set-ups that may be repeated.
+	pastMost = 4096
 )
 
 // Setup is what an owner asks for. Description is opaque.
@@ -42,8 +45,18 @@
 	Service         uint64
 	At              string // the node that holds the task already, or ""
 	Description     string
+	// Resumes says that the owner repeats a set-up whose answer it has not read: a
+	// set-up of a task that is open or stands gets that one's answer.
+	Resumes bool
 }
 
+// The errors of Submit. Nothing was taken then, and no answer is owed.
+var (
+	ErrTag     = errors.New("core: the tag is in use")
+	ErrTask    = errors.New("core: the task was handed in elsewhere")
+	ErrLeaving = errors.New("core: the task is just being ended")
+)
+
 // AnswerKind is what an owner is told.
 type AnswerKind int
 
@@ -55,6 +68,7 @@
 	Failed
 	Over
 	Moved
+	Withdrew // only to a repeated set-up: its owner withdrew it
 )
 
 // Answer is what an owner is told of its task.
@@ -73,6 +87,19 @@
 	Answer(a Answer)
 }
 
+// Class is what a front may know of a class.
+type Class struct{ WaitUs int64 }
+
+// Class returns what is known of a class.
+func (c *Core) Class(name string) (Class, bool) {
+	for _, k := range c.set.Classes {
+		if k.Name == name {
+			return Class{WaitUs: k.DeadlineUs}, true
+		}
+	}
+	return Class{}, false
+}
+
 // Offer is an attempt as a node gets it.
 type Offer struct {
 	Tag, Class, Key string
@@ -109,10 +136,13 @@
 	deadline int64
 	effect   ravenhitch.Effect
 	attempts int
+	copy     int // the number of the attempt that is out or stands
 	sentAt   int64
 	abandon  int64
 	node     string
-	mayRun   bool // an attempt may have started
+	mayRun   bool   // an attempt may have started
+	reply    string // the tag that the owner knows it by
+	binding  string // what the node gave
 	lostAt   int64
 	due      int64 // when the core itself acts, or 0
 	index    int   // in the heap
@@ -120,8 +150,8 @@
 
 // Counts are what the core has seen so far.
 type Counts struct {
-	Requests, Started, Refused, Failed, Over, Moved, Withdrawn, Opened int64
-	Offers, TimedOut, ConnectFailed, Full, Reset, Guarded              int64
+	Requests, Started, Refused, Failed, Over, Moved, Withdrawn, Opened, Resumed int64
+	Offers, TimedOut, ConnectFailed, Full, Reset, Guarded                       int64
 }
 
 // Core is the request table round one decision module. It is not safe for
@@ -134,6 +164,10 @@
 	log     *slog.Logger
 	now     int64
 	reqs    map[string]*request
+	keys    map[string]*request // the latest live request of each task
+	alias   map[string]*request // further tags of resumed requests
+	past    map[string]Answer   // final words on set-ups that may be repeated
+	pastAge []string
 	due     dues
 	bells   bells
 	events  []ravenhitch.Event
@@ -152,7 +186,8 @@
 		return nil, fmt.Errorf("core: %w", err)
 	}
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
-		reqs: map[string]*request{}, told: map[string]int64{}, listed: map[string]bool{}}
+		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
+		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{}}
 	for _, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
 	}
@@ -196,35 +231,111 @@
 
 // --- From owners ---
 
-// Submit takes in a set-up. It reports false where the tag is in use: such a
-// set-up can't be answered without a second answer to the first.
-func (c *Core) Submit(now int64, o Owner, s Setup) bool {
+// Submit takes in a set-up.
+func (c *Core) Submit(now int64, o Owner, s Setup) error {
 	c.now = now
-	if r := c.reqs[s.Tag]; r != nil {
-		if s.At == "" {
-			return false
+	if s.At != "" && c.reqs[s.Tag] != nil {
+		c.reopen(c.reqs[s.Tag], o, s)
+		return nil
+	}
+	if s.Resumes {
+		if ok, err := c.resume(o, s); ok || err != nil {
+			return err
 		}
-		c.reopen(r, o, s)
-		return true
+	}
+	if c.find(s.Tag) != nil {
+		// It can't be answered without a second answer to the first.
+		return ErrTag
+	}
+	if r := c.keys[s.Key]; r != nil && r.Resumes != s.Resumes && s.At == "" {
+		return ErrTask
 	}
 	effect, ok := c.effects[s.Class]
 	if !ok {
 		effect = ravenhitch.Unsafe
 	}
-	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1}
+	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1, reply: s.Tag}
 	c.reqs[s.Tag] = r
+	if s.Key != "" {
+		c.keys[s.Key] = r
+	}
 	task := ravenhitch.Task{Ticket: s.Tag, Workload: number(s.Key), DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
 		Class: s.Class, Program: s.Service}
 	if s.At != "" {
 		c.counts.Opened++
 		r.state, r.node, r.mayRun = standing, s.At, true
 		c.event(ravenhitch.Existing{Task: task, Machine: s.At})
-		return true
+		return nil
 	}
 	c.counts.Requests++
 	c.event(ravenhitch.Request{Task: task})
 	c.arm(r, r.deadline)
-	return true
+	return nil
+}
+
+// find returns the live request that owners know by a tag.
+func (c *Core) find(tag string) *request {
+	if r := c.reqs[tag]; r != nil {
+		return r
+	}
+	return c.alias[tag]
+}
+
+// resume answers a repeated set-up with what is known of the first. It guards
+// against a second start where an answer was sent and never read.
+func (c *Core) resume(o Owner, s Setup) (bool, error) {
+	r := c.find(s.Tag)
+	if r == nil {
+		if a, ok := c.past[s.Tag]; ok {
+			o.Answer(a)
+			return true, nil
+		}
+		r = c.keys[s.Key]
+	}
+	switch {
+	case r == nil:
+		return false, nil
+	case !r.Resumes || r.Key != s.Key:
+		return false, ErrTask
+	case r.state == leaving:
+		return false, ErrLeaving
+	}
+	if s.Tag != r.Tag {
+		c.alias[s.Tag] = r
+	}
+	r.owner, r.reply = o, s.Tag
+	c.counts.Resumed++
+	if r.state == standing {
+		o.Answer(Answer{Kind: Started, Tag: s.Tag, Description: r.binding, Node: r.node})
+	}
+	return true, nil
+}
+
+// answer tells the owner, and keeps the last word on what may be asked again.
+func (c *Core) answer(r *request, a Answer) {
+	a.Tag = r.reply
+	if a.Kind != Started {
+		c.remember(r, a)
+	}
+	r.owner.Answer(a)
+}
+
+// remember keeps the last word on a set-up that may be repeated.
+func (c *Core) remember(r *request, a Answer) {
+	if !r.Resumes {
+		return
+	}
+	for _, tag := range []string{r.Tag, r.reply} {
+		if _, ok := c.past[tag]; !ok {
+			if len(c.pastAge) >= pastMost {
+				delete(c.past, c.pastAge[0])
+				c.pastAge = c.pastAge[1:]
+			}
+			c.pastAge = append(c.pastAge, tag)
+		}
+		a.Tag = tag
+		c.past[tag] = a
+	}
 }
 
 // reopen takes a task found running whose tag is known here. The node's word
@@ -237,29 +348,42 @@
 	c.log.Warn("a task found running is known here as not standing", "tag", s.Tag, "node", s.At)
 }
 
+// Withdrawn is what Withdraw found.
+type Withdrawn int
+
+// What a withdrawal may find.
+const (
+	NotFound Withdrawn = iota
+	WasOpen
+	WasStanding
+)
+
 // Withdraw takes an owner's word that it no longer wants a task, whether that
-// still waits for its answer or stands. No answer is owed then.
-func (c *Core) Withdraw(now int64, tag string) {
+// still waits for its answer or stands. No answer is owed then. Where o is not
+// nil, only a request that is still o's is withdrawn.
+func (c *Core) Withdraw(now int64, o Owner, tag string) Withdrawn {
 	c.now = now
-	r := c.reqs[tag]
-	if r == nil {
-		return
+	r := c.find(tag)
+	if r == nil || o != nil && r.owner != o {
+		return NotFound
 	}
 	switch r.state {
 	case waiting, out:
 		c.counts.Withdrawn++
-		c.event(ravenhitch.ClientGone{Ticket: tag})
-		if r.state == out {
-			c.nodes.GiveUp(r.node, tag)
-			c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
-		}
+		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
+		c.remember(r, Answer{Kind: Withdrew})
+		c.withdraw(r)
 		c.forget(r)
+		return WasOpen
 	case standing:
 		c.counts.Withdrawn++
-		c.nodes.Release(r.node, tag)
+		c.remember(r, Answer{Kind: Withdrew})
+		c.nodes.Release(r.node, r.Tag)
 		r.state = leaving
 		c.arm(r, now+cutWait)
+		return WasStanding
 	}
+	return NotFound
 }
 
 // --- From nodes ---
@@ -275,8 +399,11 @@
 	r.state, r.mayRun = standing, true
 	c.counts.Started++
 	c.disarm(r)
-	c.event(ravenhitch.Accepted{Ticket: tag, Attempt: r.attempts - 1, Machine: node, RTTUs: now - r.sentAt})
-	r.owner.Answer(Answer{Kind: Started, Tag: tag, Description: description, Node: node})
+	c.event(ravenhitch.Accepted{Ticket: tag, Attempt: r.copy, Machine: node, RTTUs: now - r.sentAt})
+	if r.Resumes {
+		r.binding = description
+	}
+	c.answer(r, Answer{Kind: Started, Description: description, Node: node})
 }
 
 // NodeEnded takes the end of an attempt or of a task that stands.
@@ -329,13 +456,13 @@
 	c.done(r, st, why, true)
 	if r.state == standing && st != ravenhitch.Cancelled {
 		c.counts.Over++
-		r.owner.Answer(Answer{Kind: Over, Tag: r.Tag, Status: st, Why: why})
+		c.answer(r, Answer{Kind: Over, Status: st, Why: why})
 	}
 	c.forget(r)
 }
 
 func (c *Core) done(r *request, st ravenhitch.Status, why ravenhitch.Why, closed bool) {
-	c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: max(0, r.attempts-1), Machine: r.node, Status: st, Why: why,
+	c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: r.copy, Machine: r.node, Status: st, Why: why,
 		Closed: closed, RTTUs: c.now - r.sentAt})
 }
 
@@ -343,7 +470,7 @@
 func (c *Core) NodeNote(now int64, node, tag string, kind ravenhitch.NoteKind, value float64) {
 	c.now = now
 	if r := c.reqs[tag]; r != nil && r.node == node && r.state == standing {
-		c.event(ravenhitch.Note{Ticket: tag, Attempt: max(0, r.attempts-1), Machine: node, Kind: kind, Value: value})
+		c.event(ravenhitch.Note{Ticket: tag, Attempt: r.copy, Machine: node, Kind: kind, Value: value})
 	}
 }
 
@@ -497,13 +624,13 @@
 	case ravenhitch.Move:
 		if r := c.reqs[a.Ticket]; r != nil && r.state == standing {
 			c.counts.Moved++
-			r.owner.Answer(Answer{Kind: Moved, Tag: r.Tag})
+			c.answer(r, Answer{Kind: Moved})
 			c.nodes.Release(r.node, r.Tag)
 			r.state = leaving
 			c.arm(r, c.now+cutWait)
 		}
 	case ravenhitch.Cancel:
-		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.attempts-1 {
+		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.copy {
 			c.nodes.GiveUp(r.node, r.Tag)
 			c.ended(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
 		}
@@ -544,7 +671,7 @@
 		return
 	}
 	c.counts.Offers++
-	r.state, r.node, r.sentAt = out, a.Machine, c.now
+	r.state, r.node, r.sentAt, r.copy = out, a.Machine, c.now, r.attempts
 	r.attempts++
 	r.abandon = r.deadline
 	if a.AbandonAtUs > 0 {
@@ -564,14 +691,14 @@
 	}
 	c.withdraw(r)
 	c.counts.Refused++
-	r.owner.Answer(Answer{Kind: Refused, Tag: r.Tag, WaitUs: retry})
+	c.answer(r, Answer{Kind: Refused, WaitUs: retry})
 	c.forget(r)
 }
 
 func (c *Core) fail(r *request) {
 	c.withdraw(r)
 	c.counts.Failed++
-	r.owner.Answer(Answer{Kind: Failed, Tag: r.Tag})
+	c.answer(r, Answer{Kind: Failed})
 	c.forget(r)
 }
 
@@ -590,6 +717,16 @@
 	if c.reqs[r.Tag] == r {
 		delete(c.reqs, r.Tag)
 	}
+	if c.keys[r.Key] == r {
+		delete(c.keys, r.Key)
+	}
+	if r.reply != r.Tag {
+		for tag, o := range c.alias {
+			if o == r {
+				delete(c.alias, tag)
+			}
+		}
+	}
 }
 
 // Quit answers whatever is still open; used when the program has to end.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -6,6 +6,7 @@
 // while it can still be given one.
 
 import (
+	"errors"
 	"log/slog"
 	"strconv"
 	"strings"
@@ -111,7 +112,7 @@
 func (o *owner) Closed(_ *loop.Conn, _ error) {
 	o.f.drop(o)
 	for tag := range o.open {
-		o.f.core.Withdraw(o.f.l.Now(), tag)
+		o.f.core.Withdraw(o.f.l.Now(), o, tag)
 	}
 	o.open = nil
 }
@@ -151,16 +152,18 @@
 			}
 			return
 		}
-		if !o.f.core.Submit(now, o, s) {
-			o.f.log.Warn("a set-up whose tag is in use", "tag", m.Tag)
-			return
-		}
 		if s.At == "" {
 			o.open[s.Tag] = true
 		}
+		if err := o.f.core.Submit(now, o, s); err != nil {
+			o.f.log.Warn("a set-up was not taken", "tag", m.Tag, "err", err)
+			if !errors.Is(err, core.ErrTag) {
+				o.Answer(core.Answer{Kind: core.Failed, Tag: m.Tag})
+			}
+		}
 	case verbFinish:
 		delete(o.open, m.Tag)
-		o.f.core.Withdraw(now, m.Tag)
+		o.f.core.Withdraw(now, nil, m.Tag)
 		o.send(&Message{Verb: verbFinished, Tag: m.Tag})
 	case verbEcho:
 		o.send(&Message{Verb: verbEchoed, Tag: m.Tag, RC: 1, HasRC: true})
