--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -40,7 +40,9 @@
 	return *l.RC
 }
 
-func cause(verb, tag string, rc int) line { return line{Verb: verb, Tag: tag, Opts: map[string]string{}, RC: &rc} }
+func cause(verb, tag string, rc int) line {
+	return line{Verb: verb, Tag: tag, Opts: map[string]string{}, RC: &rc}
+}
 
 func wait[T any](t *testing.T, what string, c <-chan T) T {
 	t.Helper()
