--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -15,11 +15,13 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/grpcfront"
 	"ravenhitch/internal/loop"
+	"ravenhitch/internal/metrics"
 	"ravenhitch/internal/platform"
 )
 
@@ -32,6 +34,8 @@
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
+	// exportersWait is how long the last figures may take at the end.
+	exportersWait = 200 * time.Millisecond
 	// socketsDefault holds where the configuration names no limit.
 	socketsDefault = 1024
 )
@@ -91,6 +95,9 @@
 	addr  string // of the platform's front
 	grpc  *grpcfront.Front
 	gaddr string // of the gRPC front, "" where that is off
+
+	front     *platform.Front
+	exporters []*metrics.Exporter
 }
 
 // start joins the parts and begins to listen; Run serves.
@@ -120,11 +127,11 @@
 		return nil, err
 	}
 	p.nodes.Use(p.c)
-	front := platform.NewFront(p.l, p.c, budget/2, log)
+	p.front = platform.NewFront(p.l, p.c, budget/2, log)
 	channel := platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	channel.Apply(cfg.Known, true)
 	channel.Start()
-	if p.addr, err = front.Listen(cfg.Listen); err != nil {
+	if p.addr, err = p.front.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
 	if edge.GRPCListen != "" {
@@ -140,10 +147,48 @@
 			}
 		}()
 	}
+	if m := edge.Graphite; m.Address != "" {
+		p.export("tcp", m, metrics.Graphite{Prefix: m.Prefix, Name: cfg.Name})
+	}
+	if m := edge.Collectd; m.Address != "" {
+		p.export("unix", m, metrics.Collectd{Prefix: m.Prefix, Name: cfg.Name,
+			Every: time.Duration(m.EveryMs) * time.Millisecond})
+	}
 	log.Info("serving", "listen", p.addr, "grpc", p.gaddr, "known", cfg.Known.Cursor)
 	return p, nil
 }
 
+// export sends figures to one receiver from now on.
+func (p *program) export(network string, m config.Metrics, protocol metrics.Protocol) {
+	e := metrics.NewExporter(network, m.Address, protocol, p.log)
+	p.exporters = append(p.exporters, e)
+	var again func()
+	again = func() {
+		e.Offer(metrics.Sample{At: time.UnixMicro(p.l.Now()), Figures: p.figures(e)})
+		p.l.After(m.EveryMs*1000, again)
+	}
+	p.l.After(m.EveryMs*1000, again)
+}
+
+// figures is what is worth watching of the program.
+func (p *program) figures(e *metrics.Exporter) []metrics.Figure {
+	c := p.c.Counts()
+	counter := func(name string, v int64) metrics.Figure {
+		return metrics.Figure{Name: name, Value: float64(v), Counter: true}
+	}
+	gauge := func(name string, v int) metrics.Figure { return metrics.Figure{Name: name, Value: float64(v)} }
+	return []metrics.Figure{
+		counter("requests", c.Requests), counter("started", c.Started), counter("refused", c.Refused),
+		counter("failed", c.Failed), counter("over", c.Over), counter("moved", c.Moved),
+		counter("withdrawn", c.Withdrawn), counter("opened", c.Opened), counter("resumed", c.Resumed),
+		counter("offers", c.Offers), counter("offers_full", c.Full), counter("offers_timed_out", c.TimedOut),
+		counter("offers_not_connected", c.ConnectFailed), counter("offers_reset", c.Reset),
+		counter("offers_held_back", c.Guarded), counter("samples_lost", e.Dropped()),
+		gauge("open", p.c.Open()), gauge("standing", p.c.Standing()), gauge("owners", p.front.Connections()),
+		gauge("sockets_free", p.l.Free()),
+	}
+}
+
 // Stop makes Run end once what was taken is answered. It may be called from any
 // goroutine.
 func (p *program) Stop() {
@@ -171,6 +216,9 @@
 	if p.grpc != nil {
 		p.grpc.Close()
 	}
+	for _, e := range p.exporters {
+		e.Close(exportersWait)
+	}
 	p.log.Info("ended", "counts", fmt.Sprintf("%+v", p.c.Counts()))
 	return err
 }
--- a/cmd/ravenhitch/main_test.go
+++ b/cmd/ravenhitch/main_test.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +19,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"ravenhitch/internal/config"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/grpcfront/edgepb"
 )
@@ -457,3 +462,46 @@
 		t.Error(err)
 	}
 }
+
+// Figures reach a stand-in for Graphite and one for collectd, and tell what the
+// core counted.
+func TestFigures(t *testing.T) {
+	carbon, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer carbon.Close()
+	path := filepath.Join(t.TempDir(), "collectd.sock")
+	collectd, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer collectd.Close()
+	got := make(chan string, 10_000)
+	for ln, answer := range map[net.Listener]string{carbon: "", collectd: "0 Success\n"} {
+		go func() {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			for r := bufio.NewScanner(c); r.Scan(); io.WriteString(c, answer) {
+				got <- r.Text()
+			}
+		}()
+	}
+	w := newWorldWith(t, config.Edge{Graphite: config.Metrics{Address: carbon.Addr().String(), Prefix: "edge", EveryMs: 100},
+		Collectd: config.Metrics{Address: path, Prefix: "edge", EveryMs: 100}}, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	for _, want := range []string{"edge.n1.started 1 ", "edge.n1.standing 1 ", `PUTVAL "n1/edge/derive-started" interval=0.1 `,
+		`PUTVAL "n1/edge/gauge-standing" interval=0.1 `} {
+		for {
+			line := wait(t, want, got)
+			if strings.HasPrefix(line, want) && (strings.HasPrefix(line, "edge") || strings.HasSuffix(line, ":1")) {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ravenhitch/platform_test.go
@@ -0,0 +1,228 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A task belongs to no connection: its end goes to another owner's connection, or
+// to the next one that comes.
+func TestEndsFindAnOwner(t *testing.T) {
+	w := newWorld(t, "a")
+	first := w.owner(t)
+	for i, task := range []string{"ok-1", "ok-2"} {
+		send(first, setUp(tag(i+1), "guide-web", task, 5000))
+		if l := wait(t, task, first.lines); l.Verb != "STARTED" || *l.Blob != "a holds about "+task {
+			t.Fatalf("%s got %v", task, l)
+		}
+	}
+	second := w.owner(t)
+	send(second, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	if l := wait(t, "the test", second.lines); l.Verb != "ECHOED" || l.rc() != 1 || l.Tag != "t" {
+		t.Errorf("the test got %v", l)
+	}
+	first.Close()
+	w.until(t, "one owner", func() bool { return w.front.Connections() == 1 })
+	w.minions[0].end(tag(1), 16)
+	if l := wait(t, "the first end", second.lines); l.Tag != tag(1) || l.rc() != 16 {
+		t.Errorf("got %v", l)
+	}
+	second.Close()
+	w.until(t, "no owner", func() bool { return w.front.Connections() == 0 })
+	w.minions[0].end(tag(2), 41)
+	w.until(t, "the end here", func() bool { return w.c.Standing() == 0 })
+	if l := wait(t, "the second end", w.owner(t).lines); l.Tag != tag(2) || l.rc() != 41 {
+		t.Errorf("got %v", l)
+	}
+}
+
+// until runs f on the loop until it holds.
+func (w *world) until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); ; {
+		ok := false
+		w.on(t, func() { ok = f() })
+		if ok {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%s: never came", what)
+		}
+	}
+}
+
+// A malformed line harms its own connection only, and what was taken before it is
+// still answered.
+func TestMalformedLines(t *testing.T) {
+	w := newWorld(t, "a")
+	bad, idle, good := w.owner(t), w.owner(t), w.owner(t)
+	send(bad, setUp(tag(1), "guide-web", "silent-1", 500))
+	wait(t, "the offer", w.minions[0].starts)
+	bad.Write([]byte("{\"verb\":\"START\"\n"))
+	idle.Write([]byte(strings.Repeat("x", 17<<10)))
+	for l := range idle.lines {
+		t.Errorf("the idle owner got %v", l)
+	}
+	send(good, setUp(tag(2), "guide-web", "ok-2", 5000))
+	if l := wait(t, "another owner's answer", good.lines); l.Verb != "STARTED" {
+		t.Errorf("another owner got %v", l)
+	}
+	if l := wait(t, "the answer", bad.lines); l.Tag != tag(1) || l.Verb != "FINISH" {
+		t.Errorf("got %v", l)
+	}
+	for l := range bad.lines {
+		t.Errorf("got %v after the answer", l)
+	}
+	// A set-up that lacks what it needs fails alone; one in pieces is whole.
+	o := w.owner(t)
+	send(o, line{Verb: "START", Tag: tag(3), Opts: map[string]string{"class": "guide-web"}})
+	if l := wait(t, "the answer", o.lines); l.Tag != tag(3) || l.rc() != 47 {
+		t.Errorf("got %v", l)
+	}
+	b, err := json.Marshal(setUp(tag(4), "guide-web", "ok-4", 5000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range append(b, '\n') {
+		o.Write([]byte{c})
+	}
+	if l := wait(t, "the answer", o.lines); l.Tag != tag(4) || l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+}
+
+// A refused connection proves that nothing ran, so even a task that must not
+// start twice goes elsewhere.
+func TestRefusedConnection(t *testing.T) {
+	w := newWorld(t)
+	dead, alive := newMinion(t, "dead"), newMinion(t, "alive")
+	dead.ln.Close()
+	w.feed.add(true, dead.member("up"), alive.member("up"))
+	w.feed.heard(t)
+	o := w.owner(t)
+	for i := range 8 {
+		task := fmt.Sprint("ok-", i)
+		send(o, setUp(tag(i), "archive-cut", task, 5000))
+		if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || *l.Blob != "alive holds about "+task {
+			t.Errorf("got %v", l)
+		}
+		if alive.counted(task) != 1 {
+			t.Errorf("%s was started %d times", task, alive.counted(task))
+		}
+	}
+	if n := w.counts(t).ConnectFailed; n == 0 {
+		t.Error("the dead one was never tried")
+	}
+}
+
+// A connection that breaks after the offer proves nothing: such a task is not
+// sent again.
+func TestResetAfterOffer(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "archive-cut", "reset-1", 5000))
+	if l := wait(t, "the answer", o.lines); l.rc() == 34 || l.Verb != "FINISH" {
+		t.Errorf("got %v", l)
+	}
+	if n := w.minions[0].counted("reset-1"); n != 1 {
+		t.Errorf("offered %d times", n)
+	}
+}
+
+// A minion whose process dies resets its connections and refuses new ones: what
+// stood there is told to be over.
+func TestDeadMinion(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	m := w.minions[0]
+	m.ln.Close()
+	m.mu.Lock()
+	for c := range m.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	m.mu.Unlock()
+	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 41 {
+		t.Errorf("got %v", l)
+	}
+}
+
+// A new minion at the address of a departed one is not taken for it.
+func TestReusedAddress(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	m := w.minions[0]
+	successor := strings.Replace(m.member("up"), `"a"`, `"b"`, 1)
+	w.feed.add(false, m.member("removed"), successor)
+	w.feed.heard(t)
+	send(o, setUp(tag(2), "guide-web", "ok-2", 5000))
+	if l := wait(t, "the answer", o.lines); l.Tag != tag(2) || l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	// What stood at the departed one ends without a word from it.
+	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 41 {
+		t.Errorf("got %v", l)
+	}
+	var standing int
+	if w.on(t, func() { standing = w.c.Standing() }); standing != 1 {
+		t.Errorf("%d tasks stand", standing)
+	}
+}
+
+// A task found running needs no answer, and its end is passed on; its owner's
+// release reaches the minion.
+func TestFoundRunning(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	for i := range 2 {
+		l := setUp(tag(i+1), "guide-web", "ok-1", 5000)
+		l.Opts["extras"] += ";at:a"
+		send(o, l)
+	}
+	w.until(t, "both stand", func() bool { return w.c.Standing() == 2 })
+	w.minions[0].end(tag(1), 16)
+	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+		t.Errorf("got %v", l)
+	}
+	send(o, cause("FINISH", tag(2), 16))
+	if l := wait(t, "the release", w.minions[0].ends); l.Tag != tag(2) {
+		t.Errorf("the minion got %v", l)
+	}
+	if len(w.minions[0].starts) != 0 {
+		t.Error("a task that runs was offered")
+	}
+}
+
+// A configuration that cannot be used ends the program with one line.
+func TestBadConfiguration(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "ravenhitch")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	for name, text := range map[string]string{"none": "", "garbage": "{", "empty": "{}"} {
+		if text != "" {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cmd := exec.Command(bin)
+		cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+		out, err := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 1 || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "ravenhitch: ") {
+			t.Errorf("%s: %v, %q", name, err, out)
+		}
+		os.Remove(path)
+	}
+}
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -285,6 +285,10 @@
 }
 
 func newWorld(t *testing.T, names ...string) *world {
+	return newWorldWith(t, config.Edge{GRPCListen: "127.0.0.1:0"}, names...)
+}
+
+func newWorldWith(t *testing.T, edge config.Edge, names ...string) *world {
 	w := &world{feed: newFeed(t), over: make(chan error, 1)}
 	var members []string
 	for _, n := range names {
@@ -299,7 +303,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.program, err = start(cfg, config.Edge{GRPCListen: "127.0.0.1:0"}, slog.New(slog.DiscardHandler))
+	w.program, err = start(cfg, edge, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -151,11 +151,14 @@
 // Dropped is how many samples were left out or lost.
 func (e *Exporter) Dropped() int64 { return e.dropped.Load() }
 
-// Close ends the exporter once the sample under way is sent or lost. Offer must
-// not be called after it.
-func (e *Exporter) Close() {
+// Close ends the exporter once the sample under way is sent or lost, and waits
+// for that as long as it is told. Offer must not be called after it.
+func (e *Exporter) Close(wait time.Duration) {
 	close(e.samples)
-	<-e.done
+	select {
+	case <-e.done:
+	case <-time.After(wait):
+	}
 }
 
 func (e *Exporter) run() {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -63,7 +63,7 @@
 			t.Errorf("got %q, expected %q", line, want)
 		}
 	}
-	e.Close()
+	e.Close(10 * time.Second)
 	if e.Dropped() != 0 {
 		t.Errorf("%d samples lost", e.Dropped())
 	}
@@ -87,7 +87,7 @@
 				t.Errorf("got %q, expected %q", line, want)
 			}
 		}
-		e.Close()
+		e.Close(10 * time.Second)
 		if e.Dropped() != x.lost {
 			t.Errorf("%q: %d samples lost, expected %d", x.answer, e.Dropped(), x.lost)
 		}
@@ -112,7 +112,7 @@
 	if d := time.Since(began); d > time.Second {
 		t.Errorf("1000 offers took %s", d)
 	}
-	e.Close()
+	e.Close(10 * time.Second)
 	if e.Dropped() != 1000 {
 		t.Errorf("%d of 1000 samples lost, %d were taken", e.Dropped(), taken)
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -46,6 +46,9 @@
 	return &Front{l: l, core: c, most: most, log: NewLimited(log), conns: map[*owner]bool{}}
 }
 
+// Connections is how many owners are connected.
+func (f *Front) Connections() int { return len(f.conns) }
+
 // Listen starts to accept owners.
 func (f *Front) Listen(addr string) (string, error) {
 	return f.l.Listen(addr, f.room, func() loop.Handler {
