Advise owners whose task is refused to come again after a second

A refusal carried a wait of 0, so owners were told nothing of when to return. The module now advises a second, or the longest advice that owners honour if that is less (placer.go, finish and request): owners wait about 1.1 s or more by themselves, so this lengthens nothing.

--- a/placer.go
+++ b/placer.go
@@ -99,6 +99,9 @@
 	rttWeight = 1.0 / 16
 	// retryEvery is how often held tasks are looked at when nothing happens.
 	retryEvery = second / 20
+	// retryAdvice is when an owner whose task was refused is told to come again: not
+	// later than it would anyway, as room changes within a second.
+	retryAdvice = second
 	// ticksEarly is how many ticks before its deadline a held task is answered.
 	ticksEarly = 4
 )
@@ -126,7 +129,7 @@
 	}
 	class, ok := p.classes[rt.Class]
 	if !ok || rt.DeadlineUs <= p.now || !p.everFits(class, rt) {
-		p.do(Deny{Ticket: rt.Ticket})
+		p.do(Deny{Ticket: rt.Ticket, RetryInUs: min(retryAdvice, p.s.MaxRetryAfterUs)})
 		return
 	}
 	t := &task{Task: rt, class: class, arrived: p.now}
@@ -656,7 +659,7 @@
 func (p *Placer) finish(t *task) {
 	c := &p.s.Classes[t.class]
 	if t.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && c.Group == ScopeAll {
-		p.do(Deny{Ticket: t.Ticket})
+		p.do(Deny{Ticket: t.Ticket, RetryInUs: min(retryAdvice, p.s.MaxRetryAfterUs)})
 	} else {
 		p.do(Error{Ticket: t.Ticket})
 	}
