Dial anew where a minion's connection fell silent; close what would linger

A time-out proves nothing, so such a task may not be tried again where that could harm. Now a connection on which an offer was given up with nothing read since is stale at once (nodes.go, GiveUp and stale).

Found by reading, each with a test: a paused connection that was torn down kept the loop spinning (loop.go, ready); one bad member hid the others of an event of the command channel (config.go, update). Without a test: connections to a minion that vanished and left the list were kept for ever (nodes.go, Update), as were those of owners that vanished (keepalive in loop.go, tune).

Tried in the module and given up: taking the load reports that come with outcomes as news of a machine's room.

--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// Where an offer was given up and nothing came in since, the next goes out on a
+// new connection: to a minion that was cut off, that one fails with proof that
+// nothing ran.
+func TestSilentConnection(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	send(o, setUp(tag(2), "guide-web", "silent-1", 5000))
+	for _, what := range []string{"ok-1", "the first attempt", "the second attempt"} {
+		wait(t, what, w.minions[0].starts)
+	}
+	w.minions[0].mu.Lock()
+	dials := w.minions[0].dials
+	w.minions[0].mu.Unlock()
+	if dials < 2 {
+		t.Errorf("%d connections", dials)
+	}
+}
+
 // A connection that breaks after the offer proves nothing: such a task is not
 // sent again.
 func TestResetAfterOffer(t *testing.T) {
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -70,6 +70,7 @@
 	conns  map[net.Conn]bool
 	held   map[string]bool
 	count  map[string]int // set-ups by task
+	dials  int            // connections so far
 }
 
 func newMinion(t *testing.T, name string) *minion {
@@ -88,6 +89,7 @@
 			}
 			m.mu.Lock()
 			m.conns[c] = true
+			m.dials++
 			m.came.Broadcast()
 			m.mu.Unlock()
 			go m.serve(c)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,7 @@
 type Update struct {
 	Cursor int64
 	Events []Event
+	Bad    []error // members that were left out
 }
 
 // Event is one numbered event of the command channel.
@@ -81,8 +82,11 @@
 	if c.Seed, err = strconv.ParseUint(j.Get("seed").String(), 16, 64); err != nil {
 		return Config{}, fmt.Errorf("%w: seed: expected up to 16 hex digits, got %.40q", ErrConfig, j.Get("seed").String())
 	}
-	if c.Known, err = update(j.Get("known")); err != nil {
-		return Config{}, fmt.Errorf("%w: known: %w", ErrConfig, err)
+	if c.Known, err = update(j.Get("known")); err == nil && len(c.Known.Bad) > 0 {
+		err = c.Known.Bad[0]
+	}
+	if err != nil {
+		return Config{}, fmt.Errorf("known: %w", err)
 	}
 	if !j.Get("settings").IsObject() {
 		return Config{}, fmt.Errorf("%w: settings: expected an object", ErrConfig)
@@ -160,25 +164,23 @@
 		return Update{}, fmt.Errorf("%w: expected an object", ErrConfig)
 	}
 	u := Update{Cursor: j.Get("cursor").Int()}
-	var err error
 	j.Get("cmds").ForEach(func(_, v gjson.Result) bool {
 		ev := Event{Cursor: v.Get("cursor").Int()}
 		if n := v.Get("nodes"); n.IsObject() {
 			ev.HasNodes, ev.Complete = true, n.Get("complete").Bool()
 			n.Get("members").ForEach(func(_, v gjson.Result) bool {
-				var m Member
-				if m, err = member(v); err == nil {
+				// One bad member must not keep the others from being heard of.
+				if m, err := member(v); err != nil {
+					u.Bad = append(u.Bad, err)
+				} else {
 					ev.Members = append(ev.Members, m)
 				}
-				return err == nil
+				return true
 			})
 		}
 		u.Events = append(u.Events, ev)
-		return err == nil
+		return true
 	})
-	if err != nil {
-		return Update{}, err
-	}
 	return u, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+// One bad member does not hide the others of an event.
+func TestBadMember(t *testing.T) {
+	u, err := ParseUpdate([]byte(`{"cursor":4,"cmds":[{"cursor":4,"nodes":{"members":[{"id":"x","phase":"odd"},` + member1 + `]}}]}`))
+	if err != nil || len(u.Bad) != 1 || len(u.Events[0].Members) != 1 {
+		t.Errorf("got %+v, %v", u, err)
+	}
+	for _, bad := range []string{"", "[]", "{"} {
+		if _, err := ParseUpdate([]byte(bad)); !errors.Is(err, ErrConfig) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
+
 func TestEdge(t *testing.T) {
 	// The file in the repository leaves everything off.
 	e, err := LoadEdge(filepath.Join("..", "..", "deploy", "edge.json"))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -253,7 +253,7 @@
 		default:
 			return
 		}
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		tune(fd)
 		c := &Conn{l: l, fd: fd, h: ln.accept(), up: true, mask: unix.EPOLLIN | unix.EPOLLRDHUP}
 		if err := l.watch(fd, c.mask, unix.EPOLL_CTL_ADD); err != nil {
 			unix.Close(fd)
@@ -297,7 +297,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("loop: dial %s: %w", addr, err)
 	}
-	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	tune(fd)
 	if err := unix.Connect(fd, sa); err != nil && err != unix.EINPROGRESS {
 		unix.Close(fd)
 		return nil, fmt.Errorf("loop: dial %s: %w", addr, err)
@@ -317,6 +317,17 @@
 	return c, nil
 }
 
+// tune sets what every connection wants: small messages go out at once, and a
+// peer that vanished without a word is found out. A system that refuses any of
+// this still gives a usable connection.
+func tune(fd int) {
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 30)
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 10)
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 3)
+}
+
 // Up reports whether the connection is established and not closed.
 func (c *Conn) Up() bool { return c != nil && c.up && !c.closed }
 
@@ -457,6 +468,12 @@
 			return
 		}
 	}
+	if c.paused && events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		// These can't be masked: a paused connection that the other side tore down
+		// would keep the loop spinning.
+		c.fail(ErrEOF)
+		return
+	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		if err := c.read(); err != nil {
 			c.fail(err)
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -149,6 +149,9 @@
 	if err != nil {
 		return used, err
 	}
+	for _, err := range u.Bad {
+		ch.log.Warn("a minion on the command channel was left out", "err", err)
+	}
 	ch.limit.Stop()
 	ch.Apply(u, false)
 	if !r.keep {
--- a/internal/platform/jsonl.go
+++ b/internal/platform/jsonl.go
@@ -6,6 +6,7 @@
 package platform
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -412,14 +413,8 @@
 // lines calls f with each whole line of b and returns how many bytes that took.
 func lines(b []byte, f func(line []byte) error) (used int, err error) {
 	for used < len(b) {
-		n := -1
 		rest := b[used:]
-		for i, c := range rest[:min(len(rest), lineMost)] {
-			if c == '\n' {
-				n = i
-				break
-			}
-		}
+		n := bytes.IndexByte(rest[:min(len(rest), lineMost)], '\n')
 		if n < 0 {
 			if len(rest) >= lineMost {
 				return used, fmt.Errorf("%w: a line of more than %d bytes", ErrMessage, lineMost)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -29,6 +29,9 @@
 	staleAfter  = 400_000
 	redialLeast = 100_000
 	redialMost  = 2_000_000
+	// partAfter is how long the connections to a minion that left the list are kept
+	// for what it still has to say: one that vanished would keep them for ever.
+	partAfter = 10_000_000
 	// strayMost bounds the connections to one minion.
 	strayMost = 4
 )
@@ -87,6 +90,7 @@
 	open   map[string]*sent
 	early  [][]byte // messages that wait for the connection
 	readAt int64
+	mute   bool // an offer was given up on it, and nothing came in since
 	probes map[string]int64
 }
 
@@ -108,16 +112,26 @@
 		k = &link{n: n, id: id, addr: addr}
 		n.links[id] = k
 	}
-	if addr != "" && addr != k.addr {
+	if listed && addr != k.addr {
 		k.addr = addr
 		k.closeAll()
 	}
 	k.listed = listed
 	if listed {
 		k.ensure()
-	} else if k.redial.Stop(); len(k.conns) == 0 {
+		return
+	}
+	k.redial.Stop()
+	if len(k.conns) == 0 {
 		delete(n.links, id)
+		return
 	}
+	n.l.After(partAfter, func() {
+		if n.links[id] == k && !k.listed {
+			k.closeAll()
+			delete(n.links, id)
+		}
+	})
 }
 
 // Reset forgets the minions that a whole list did not name.
@@ -169,6 +183,7 @@
 		}
 		delete(nc.open, tag)
 		if s.line == nil {
+			nc.mute = nc.mute || nc.readAt < s.at
 			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 		}
 	}
@@ -227,13 +242,16 @@
 	return k.dial()
 }
 
-// stale reports whether an offer lies on the connection while nothing comes in:
-// a minion that was cut off leaves its connections open and silent, and a new
+// stale reports whether an offer lies on the connection, or was given up on it,
+// while nothing comes in: a minion that was cut off leaves its connections open and silent, and a new
 // one tells quickly, and with proof, that it is away.
 func (nc *nodeConn) stale() bool {
 	if !nc.c.Up() {
 		return false
 	}
+	if nc.mute {
+		return true
+	}
 	now := nc.k.n.l.Now()
 	for _, s := range nc.open {
 		if now-max(s.at, nc.readAt) > staleAfter {
@@ -384,7 +402,7 @@
 
 // Data implements loop.Handler.
 func (nc *nodeConn) Data(_ *loop.Conn, b []byte) (int, error) {
-	nc.readAt = nc.k.n.l.Now()
+	nc.readAt, nc.mute = nc.k.n.l.Now(), false
 	return lines(b, func(line []byte) error {
 		m, err := Parse(line)
 		if err != nil {
