--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -135,12 +135,16 @@
 		return nil, err
 	}
 	if edge.GRPCListen != "" {
+		creds, err := grpcfront.Credentials(edge.GRPCCert, edge.GRPCKey)
+		if err != nil {
+			return nil, err
+		}
 		ln, err := net.Listen("tcp", edge.GRPCListen)
 		if err != nil {
 			return nil, fmt.Errorf("grpc: %w", err)
 		}
 		p.gaddr = ln.Addr().String()
-		p.grpc = grpcfront.New(p.l, p.c)
+		p.grpc = grpcfront.New(p.l, p.c, creds)
 		go func() {
 			if err := p.grpc.Serve(ln); err != nil {
 				log.Error("the gRPC front ended", "err", err)
@@ -193,6 +197,9 @@
 // goroutine.
 func (p *program) Stop() {
 	p.l.Post(func() {
+		if p.grpc != nil {
+			p.grpc.Leave()
+		}
 		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing())
 		p.end(p.l.Now())
 	})
--- a/cmd/ravenhitch/main_test.go
+++ b/cmd/ravenhitch/main_test.go
@@ -3,10 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -16,7 +23,9 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
 	"ravenhitch/internal/config"
@@ -505,3 +514,65 @@
 		}
 	}
 }
+
+// With a certificate the front speaks TLS only, and tells its health until it is
+// to end.
+func TestTLSAndHealth(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	for name, b := range map[string]*pem.Block{"cert": {Type: "CERTIFICATE", Bytes: cert}, "key": {Type: "PRIVATE KEY", Bytes: private}} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(b), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w := newWorldWith(t, config.Edge{GRPCListen: "127.0.0.1:0", GRPCCert: filepath.Join(dir, "cert"),
+		GRPCKey: filepath.Join(dir, "key")}, "a")
+	creds, err := credentials.NewClientTLSFromFile(filepath.Join(dir, "cert"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := grpc.NewClient(w.gaddr, grpc.WithTransportCredentials(creds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if b, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(tag(1), "guide-web", "ok-1", 0)); err != nil || b.GetNode() != "a" {
+		t.Errorf("over TLS: %v, %v", b, err)
+	}
+	if _, err := w.client(t).Place(ctx, offer(tag(2), "guide-web", "ok-2", 0)); status.Code(err) != codes.Unavailable {
+		t.Errorf("without TLS: %v", err)
+	}
+	health := func() healthpb.HealthCheckResponse_ServingStatus {
+		r, err := healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{})
+		if err != nil {
+			t.Error(err)
+		}
+		return r.GetStatus()
+	}
+	if h := health(); h != healthpb.HealthCheckResponse_SERVING {
+		t.Errorf("at first: %v", h)
+	}
+	w.Stop()
+	w.on(t, func() {})
+	if h := health(); h != healthpb.HealthCheckResponse_NOT_SERVING {
+		t.Errorf("told to end: %v", h)
+	}
+	if _, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(tag(3), "guide-web", "ok-3", 0)); err != nil {
+		t.Errorf("an offer while it ends: %v", err)
+	}
+}
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -8,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -224,25 +226,57 @@
 	}
 }
 
-// A configuration that cannot be used ends the program with one line.
-func TestBadConfiguration(t *testing.T) {
+// The program itself: a configuration that cannot be used ends it with one line,
+// SIGTERM with exit code 0 after what is open is answered.
+func TestProgram(t *testing.T) {
 	bin := filepath.Join(t.TempDir(), "ravenhitch")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	for name, text := range map[string]string{"none": "", "garbage": "{", "empty": "{}"} {
-		if text != "" {
-			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-				t.Fatal(err)
-			}
+	command := func(text string) *exec.Cmd {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
 		}
 		cmd := exec.Command(bin)
 		cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path)
+		return cmd
+	}
+	for _, text := range []string{"", "{", "{}"} {
+		cmd := command(text)
 		out, err := cmd.CombinedOutput()
 		if cmd.ProcessState.ExitCode() != 1 || strings.Count(string(out), "\n") != 1 || !strings.HasPrefix(string(out), "ravenhitch: ") {
-			t.Errorf("%s: %v, %q", name, err, out)
+			t.Errorf("%q: %v, %q", text, err, out)
 		}
-		os.Remove(path)
+	}
+	f, m := newFeed(t), newMinion(t, "a")
+	f.add(true, m.member("up"))
+	cmd := command(configText(f))
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := make(chan string, 100)
+	go func() {
+		for r := bufio.NewScanner(log); r.Scan(); {
+			lines <- r.Text()
+		}
+	}()
+	_, addr, _ := strings.Cut(wait(t, "the first line", lines), "listen=")
+	w := &world{program: &program{addr: strings.Fields(addr)[0]}}
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "silent-1", 1500))
+	wait(t, "the offer", m.starts)
+	began := time.Now()
+	cmd.Process.Signal(syscall.SIGTERM)
+	if l := wait(t, "the answer", o.lines); l.Verb != "FINISH" || l.Tag != tag(1) || l.Opts["wait"] != "1000" {
+		t.Errorf("got %v", l)
+	}
+	if err := cmd.Wait(); err != nil || time.Since(began) > 3700*time.Millisecond {
+		t.Errorf("ended with %v after %s", err, time.Since(began))
 	}
 }
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -278,6 +278,13 @@
  "Importance":1.0,"WindowUs":5000000},{"Name":"archive-cut","Semantics":"single_shot","Group":"all",
  "OnTimeUs":6000000,"DeadlineUs":10000000,"Importance":5.0,"WindowUs":5000000}]}`
 
+// configText is a configuration that knows all events so far.
+func configText(f *feed) string {
+	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":%q,"known":%s,"settings":%s}`,
+		f.srv.Listener.Addr(), f.known(0), settingsText)
+}
+
 // world is a program with the stand-ins round it.
 type world struct {
 	*program
@@ -299,9 +306,7 @@
 		members = append(members, m.member("up"))
 	}
 	w.feed.add(true, members...)
-	cfg, err := config.Parse([]byte(fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":%q,"known":%s,"settings":%s}`,
-		w.feed.srv.Listener.Addr(), w.feed.known(0), settingsText)))
+	cfg, err := config.Parse([]byte(configText(w.feed)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -206,9 +206,10 @@
 // Edge is what a file of the project's own says of the further protocols; each
 // is off where its address is empty.
 type Edge struct {
-	GRPCListen string
-	Graphite   Metrics
-	Collectd   Metrics
+	GRPCListen        string
+	GRPCCert, GRPCKey string // files of a certificate and its key, or ""
+	Graphite          Metrics
+	Collectd          Metrics
 }
 
 // Metrics says where figures go, and how often.
@@ -275,8 +276,15 @@
 		switch name := k.String(); name {
 		case "grpc":
 			v.ForEach(func(k, v gjson.Result) bool {
-				if e.GRPCListen = v.String(); k.String() != "listen" {
-					fail("grpc."+k.String(), "listen")
+				switch k.String() {
+				case "listen":
+					e.GRPCListen = v.String()
+				case "cert":
+					e.GRPCCert = v.String()
+				case "key":
+					e.GRPCKey = v.String()
+				default:
+					fail("grpc."+k.String(), "listen, cert or key")
 				}
 				return true
 			})
@@ -292,6 +300,9 @@
 	if _, bad := netip.ParseAddrPort(e.GRPCListen); e.GRPCListen != "" && bad != nil {
 		fail("grpc.listen", "address:port")
 	}
+	if (e.GRPCCert == "") != (e.GRPCKey == "") {
+		fail("grpc.cert and grpc.key", "both or neither")
+	}
 	if _, bad := netip.ParseAddrPort(e.Graphite.Address); e.Graphite.Address != "" && bad != nil {
 		fail("graphite.address", "address:port")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -124,7 +124,7 @@
 		e.Collectd.Prefix != "ravenhitch" || e.Collectd.EveryMs != 500 {
 		t.Errorf("got %+v, %v", e, err)
 	}
-	for _, bad := range []string{`{`, `[]`, `{"grcp":{}}`, `{"grpc":{"port":1}}`, `{"grpc":{"listen":"here"}}`,
+	for _, bad := range []string{`{`, `[]`, `{"grcp":{}}`, `{"grpc":{"port":1}}`, `{"grpc":{"listen":"here"}}`, `{"grpc":{"cert":"a"}}`,
 		`{"graphite":{"address":"x"}}`, `{"graphite":{"every_ms":1}}`, `{"graphite":{"prefix":"a b"}}`,
 		`{"collectd":{"address":"c.sock"}}`, `{"collectd":{"adress":"/c.sock"}}`} {
 		path := filepath.Join(t.TempDir(), "edge.json")
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -22,6 +22,10 @@
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -72,21 +76,37 @@
 	l        Loop
 	c        Core
 	srv      *grpc.Server
+	health   *health.Server
 	queued   atomic.Int64
 	sessions map[string]*session // the loop's
 	closing  bool                // the loop's
 }
 
+// Credentials reads a certificate and its key. Without either, connections are
+// plain.
+func Credentials(cert, key string) (credentials.TransportCredentials, error) {
+	if cert == "" && key == "" {
+		return insecure.NewCredentials(), nil
+	}
+	c, err := credentials.NewServerTLSFromFile(cert, key)
+	if err != nil {
+		return nil, fmt.Errorf("grpcfront: %w", err)
+	}
+	return c, nil
+}
+
 // New returns a front that serves nothing yet.
-func New(l Loop, c Core) *Front {
-	f := &Front{l: l, c: c, sessions: map[string]*session{}}
+func New(l Loop, c Core, creds credentials.TransportCredentials) *Front {
+	f := &Front{l: l, c: c, sessions: map[string]*session{}, health: health.NewServer()}
 	f.srv = grpc.NewServer(
+		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(2*textMost),
 		grpc.MaxConcurrentStreams(streamsMost),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 	)
 	edgepb.RegisterOrchestratorServer(f.srv, f)
+	healthpb.RegisterHealthServer(f.srv, f.health)
 	return f
 }
 
@@ -98,6 +118,10 @@
 	return nil
 }
 
+// Leave tells clients that ask for the front's health to go elsewhere. What they
+// still send is served as before.
+func (f *Front) Leave() { f.health.Shutdown() }
+
 // Close ends the streams once what they were sent is written. The loop must have
 // ended, or the call must come from it.
 func (f *Front) Close() {
