Carry the clock on monotonically; refuse a wait that is not a number

Found by reading: the loop's clock followed the system's and never went back, so a step back of an hour would have held every timer for an hour (loop.go, tick). A `left` of "NaN" passed as a number and gave a deadline in the far past (front.go, setup); now with a test. The clock has none: no test may set it.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -102,6 +102,7 @@
 	dead      []*Conn
 	dirty     []*Conn
 	timers    timers
+	began     time.Time
 	now       int64
 	budget    int
 	held      int
@@ -125,7 +126,7 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	l := &Loop{ep: ep, wake: wake, conns: map[int]*Conn{}, listeners: map[int]*listener{},
-		budget: budget, buf: make([]byte, readSize)}
+		budget: budget, buf: make([]byte, readSize), began: time.Now()}
 	l.tick()
 	if err := l.watch(wake, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
 		unix.Close(ep)
@@ -135,8 +136,10 @@
 	return l, nil
 }
 
-// tick reads the clock, which never goes back for users of the loop.
-func (l *Loop) tick() { l.now = max(l.now, time.Now().UnixMicro()) }
+// tick reads the clock. It is the Unix clock as it stood at the start, carried on
+// by the monotonic one: a step of the system's clock would fire all timers at once,
+// or none for as long as it went back.
+func (l *Loop) tick() { l.now = l.began.UnixMicro() + time.Since(l.began).Microseconds() }
 
 // Now is the Unix time of this turn, in microseconds.
 func (l *Loop) Now() int64 { return l.now }
@@ -599,7 +602,8 @@
 	if len(l.timers) == 0 {
 		return 1000
 	}
-	d := l.timers[0].at - time.Now().UnixMicro()
+	l.tick()
+	d := l.timers[0].at - l.now
 	return int(min(1000, max(0, (d+999)/1000)))
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -196,8 +196,11 @@
 		}
 	}
 	left, err := strconv.ParseFloat(m.Opt("left"), 64)
-	if err != nil && s.At == "" {
-		return s, false
+	if s.At == "" && (err != nil || left != left) {
+		return s, false // absent, or not a number though ParseFloat takes it
+	}
+	if s.At != "" {
+		left = 0 // no answer is waited for
 	}
 	s.WaitUs = int64(min(max(left, 0), 1e9) * 1000)
 	fine := func(v float64) bool { return v >= 0 && v < 1e9 }
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -122,6 +122,34 @@
 	}
 }
 
+func TestSetup(t *testing.T) {
+	opts := func(left, extras string) Message {
+		return Message{Verb: verbStart, Tag: "9b1f03aa5c7e2d41", Opts: []Field{{"class", "web"}, {"key", "k"}, {"left", left}, {"extras", extras}}}
+	}
+	for _, x := range []struct {
+		left, extras string
+		ok           bool
+		wait         int64
+	}{
+		{"1500", "cores:1.5;memory:2.5;service:ff", true, 1_500_000}, {"0.5", "", true, 500}, {"-3", "", true, 0}, {"1e300", "", true, 1e12},
+		{"", "", false, 0}, {"soon", "", false, 0}, {"NaN", "", false, 0}, {"5", "cores:NaN", false, 0}, {"5", "cores:-1", false, 0},
+		{"5", "memory:inf", false, 0}, {"", "at:s-1", true, 0}, {"NaN", "at:s-1", true, 0},
+	} {
+		m := opts(x.left, x.extras)
+		if s, ok := setup(&m); ok != x.ok || ok && s.WaitUs != x.wait {
+			t.Errorf("%+v: got %+v, %v", x, s, ok)
+		}
+	}
+	m := opts("1500", "cores:1.5;memory:2.5;service:ff;at:s-1;new:thing")
+	if s, _ := setup(&m); s.Cores != 1.5 || s.Mem != 2.5 || s.Service != 255 || s.At != "s-1" {
+		t.Errorf("got %+v", s)
+	}
+	m.Tag = "9b1f03aa5c7e2d4x"
+	if _, ok := setup(&m); ok {
+		t.Error("a tag that is no hex passed")
+	}
+}
+
 // A line of 16 KiB passes, a longer one is told before it is whole, and no
 // message grows on its way through.
 func TestLineLength(t *testing.T) {
