Close the owner's connection that was quiet longest when there is no room

Found by reading: at the limit any idle connection was closed, in the order of a map, and an end of a task could go to a connection that had sent something malformed (front.go, room and any). Now with a test at a limit of 16 owners.

--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -60,6 +60,34 @@
 	}
 }
 
+// At the limit of connections an owner with nothing on its connection makes room
+// once it was quiet for a while, one that is owed an answer never does.
+func TestOwnersOverTheLimit(t *testing.T) {
+	w := newWorldLimited(t, 64, "a") // 32 descriptors aside, half of the rest for owners
+	busy := w.owner(t)
+	send(busy, setUp(tag(1), "guide-web", "silent-1", 3000))
+	wait(t, "the offer", w.minions[0].starts)
+	closed := make(chan bool, 15)
+	for range 15 {
+		idle := w.owner(t)
+		go func() {
+			for range idle.lines {
+			}
+			closed <- true
+		}()
+	}
+	w.until(t, "all are connected", func() bool { return w.front.Connections() == 16 })
+	late := w.owner(t)
+	send(late, setUp(tag(2), "guide-web", "ok-2", 6000))
+	if l := wait(t, "the late owner's answer", late.lines); l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	wait(t, "the end of an idle connection", closed)
+	if l := wait(t, "the busy owner's answer", busy.lines); l.Tag != tag(1) {
+		t.Errorf("got %v", l)
+	}
+}
+
 // A malformed line harms its own connection only, and what was taken before it is
 // still answered.
 func TestMalformedLines(t *testing.T) {
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -298,6 +298,14 @@
 }
 
 func newWorldWith(t *testing.T, edge config.Edge, names ...string) *world {
+	return newWorldOf(t, edge, 1024, names...)
+}
+
+func newWorldLimited(t *testing.T, sockets int64, names ...string) *world {
+	return newWorldOf(t, config.Edge{}, sockets, names...)
+}
+
+func newWorldOf(t *testing.T, edge config.Edge, sockets int64, names ...string) *world {
 	w := &world{feed: newFeed(t), over: make(chan error, 1)}
 	var members []string
 	for _, n := range names {
@@ -310,6 +318,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	cfg.Sockets = sockets
 	w.program, err = start(cfg, edge, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -8,6 +8,8 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +40,10 @@
 	unsent [][]byte // releases that found no connection
 }
 
+// idleLeast is how long a connection must have been quiet to be closed for
+// another: a set-up may be on its way on one that was just used.
+const idleLeast = 1_000_000
+
 // unsentMost bounds the releases that wait for an owner to connect.
 const unsentMost = 10_000
 
@@ -57,20 +63,25 @@
 	})
 }
 
-// room closes connections with nothing on them where the limit is reached.
+// room closes the connection with nothing on it that was quiet longest where the
+// limit is reached.
 func (f *Front) room() bool {
 	if len(f.conns) < f.most {
 		return true
 	}
+	var idle *owner
 	for o := range f.conns {
-		if len(o.open) == 0 && f.l.Now()-o.usedAt > int64(time.Second/time.Microsecond) {
-			f.drop(o)
-			o.c.Close()
-			return true
+		if len(o.open) == 0 && (idle == nil || o.usedAt < idle.usedAt) {
+			idle = o
 		}
 	}
-	f.log.Warn("no room for another owner", "connections", len(f.conns))
-	return false
+	if idle == nil || f.l.Now()-idle.usedAt < idleLeast {
+		f.log.Warn("no room for another owner", "connections", len(f.conns))
+		return false
+	}
+	f.drop(idle)
+	idle.c.Close()
+	return true
 }
 
 func (f *Front) drop(o *owner) {
@@ -82,7 +93,7 @@
 
 // any returns a connection that is up, or nil: the one used last, if it is.
 func (f *Front) any() *owner {
-	if f.latest != nil && f.latest.c.Up() {
+	if f.latest != nil && f.latest.c.Up() && !f.latest.bad {
 		return f.latest
 	}
 	var best *owner
@@ -114,7 +125,7 @@
 
 func (o *owner) Closed(_ *loop.Conn, _ error) {
 	o.f.drop(o)
-	for tag := range o.open {
+	for _, tag := range slices.Sorted(maps.Keys(o.open)) {
 		o.f.core.Withdraw(o.f.l.Now(), o, tag)
 	}
 	o.open = nil
