Keep the two fronts apart: neither ends what came by the other

Found by reading: a release over gRPC ended any task whose tag it named, also the platform's, and a FINISH on JSON lines any task of gRPC. Each front now asks the core whose a tag is (core.go, Resumable); with a test, which also covers set-ups and offers that name the other front's tag or task.

Refusals that are the core's own, at a deadline that the module missed and at the end of the program, advise a second as the module's do; they advised nothing.

--- a/cmd/ravenhitch/main_test.go
+++ b/cmd/ravenhitch/main_test.go
@@ -586,3 +586,34 @@
 		t.Errorf("an offer while it ends: %v", err)
 	}
 }
+
+// Neither front ends or takes over what came by the other.
+func TestFrontsApart(t *testing.T) {
+	w := newWorld(t, "a")
+	o, s := w.owner(t), w.session(t, "s", 0)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	s.offer(t, offer(tag(2), "guide-web", "ok-2", 5000))
+	wait(t, "an answer", o.lines)
+	wait(t, "a binding", s.got)
+	send(o, cause("FINISH", tag(2), 16))
+	if l := wait(t, "the word that it was heard", o.lines); l.Verb != "FINISHED" {
+		t.Errorf("got %v", l)
+	}
+	if _, err := w.client(t).Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(1)}); status.Code(err) != codes.NotFound {
+		t.Errorf("a release of the other front's task: %v", err)
+	}
+	send(o, setUp(tag(3), "guide-web", "ok-2", 5000))
+	if l := wait(t, "the answer", o.lines); l.Tag != tag(3) || l.rc() != 47 {
+		t.Errorf("a set-up of the other front's task got %v", l)
+	}
+	for id, task := range map[string]string{tag(1): "ok-9", tag(4): "ok-1"} {
+		s.offer(t, offer(id, "guide-web", task, 5000))
+		if r := wait(t, "the answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
+			t.Errorf("an offer of the other front's task got %v", r)
+		}
+	}
+	var standing int
+	if w.on(t, func() { standing = w.c.Standing() }); standing != 2 || w.minions[0].counted("ok-1") != 1 {
+		t.Errorf("%d tasks stand", standing)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,9 @@
 	sweepEvery  = 500_000
 	// drainMargin is how long before the drain limit offers end here.
 	drainMargin = 500_000
+	// ownAdvice is how long owners are told to stay away by refusals that are the
+	// core's own: at the deadline and at the end of the program.
+	ownAdvice = 1_000_000
 	// pastMost bounds the final words kept for set-ups that may be repeated.
 	pastMost = 4096
 )
@@ -358,6 +361,13 @@
 	WasStanding
 )
 
+// Resumable reports whether a tag names a live request of a front whose owners
+// repeat set-ups. A front must not end what came by another.
+func (c *Core) Resumable(tag string) bool {
+	r := c.find(tag)
+	return r != nil && r.Resumes
+}
+
 // Withdraw takes an owner's word that it no longer wants a task, whether that
 // still waits for its answer or stands. No answer is owed then. Where o is not
 // nil, only a request that is still o's is withdrawn.
@@ -576,7 +586,7 @@
 	case waiting:
 		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
 		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
-		c.finish(r, 0)
+		c.finish(r, ownAdvice)
 	case leaving:
 		c.nodes.Release(r.node, r.Tag)
 		c.over(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
@@ -737,7 +747,7 @@
 			if r.state == out {
 				r.mayRun = true
 			}
-			c.finish(r, 0)
+			c.finish(r, ownAdvice)
 		}
 	}
 	c.events = nil
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -68,6 +68,7 @@
 	Submit(now int64, o core.Owner, s core.Setup) error
 	Withdraw(now int64, o core.Owner, tag string) core.Withdrawn
 	Class(name string) (core.Class, bool)
+	Resumable(tag string) bool
 }
 
 // Front is the gRPC front.
@@ -324,7 +325,14 @@
 // Release implements the RPC.
 func (f *Front) Release(ctx context.Context, r *edgepb.ReleaseRequest) (*edgepb.ReleaseResponse, error) {
 	found := make(chan core.Withdrawn, 1)
-	if err := f.ask(func() { found <- f.c.Withdraw(f.l.Now(), nil, r.GetOfferId()) }); err != nil {
+	err := f.ask(func() {
+		if !f.c.Resumable(r.GetOfferId()) {
+			found <- core.NotFound // also where the platform's front has it
+			return
+		}
+		found <- f.c.Withdraw(f.l.Now(), nil, r.GetOfferId())
+	})
+	if err != nil {
 		return nil, err
 	}
 	select {
--- a/internal/grpcfront/grpcfront_test.go
+++ b/internal/grpcfront/grpcfront_test.go
@@ -32,6 +32,7 @@
 func (none) Submit(int64, core.Owner, core.Setup) error        { return nil }
 func (none) Withdraw(int64, core.Owner, string) core.Withdrawn { return core.NotFound }
 func (none) Class(string) (core.Class, bool)                   { return core.Class{WaitUs: 1000}, true }
+func (none) Resumable(string) bool                             { return true }
 func newStream() *stream {
 	return &stream{out: make(chan *edgepb.ServerMessage, outMost), over: make(chan struct{})}
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -177,7 +177,9 @@
 		}
 	case verbFinish:
 		delete(o.open, m.Tag)
-		o.f.core.Withdraw(now, nil, m.Tag)
+		if !o.f.core.Resumable(m.Tag) { // else it came by another front
+			o.f.core.Withdraw(now, nil, m.Tag)
+		}
 		o.send(&Message{Verb: verbFinished, Tag: m.Tag})
 	case verbEcho:
 		o.send(&Message{Verb: verbEchoed, Tag: m.Tag, RC: 1, HasRC: true})
