Follow the command channel on SIGHUP; derive the last call from the settings' deadlines

The time of the last answers after SIGTERM was the constant 3.1 s, while the kill comes at the longest deadline (3 s at most) and 0.7 s: with scaled deadlines it would have come too late.

SIGHUP loads and checks the whole file on the loop and moves the follower (channel.go, Follow), which asks the new address from the cursor in hand; a bad file is one log line. A call under way, its limit and the next dial now have one place where they are given back (startIn). Stopped timers leave the heap at once (loop.go, Stop): they lay there until their time.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"ravenhitch"
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/grpcfront"
@@ -28,9 +29,12 @@
 const (
 	// stillComing is how long after SIGTERM requests keep coming.
 	stillComing = 800_000
-	// lastCall is how long after SIGTERM what is still open is answered: the kill
-	// comes no sooner than 3.7 s after it.
-	lastCall = 3_100_000
+	// The kill comes no sooner after SIGTERM than the longest deadline, counted as
+	// deadlineMost where it is longer, and killSlack; what is still open is answered
+	// quitEarly before it.
+	deadlineMost = 3_000_000
+	killSlack    = 700_000
+	quitEarly    = 300_000
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
@@ -73,15 +77,20 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 6 / 10)
 	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p, err := start(cfg, edge, log.With("name", cfg.Name))
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		p.Stop()
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				p.Reload(path)
+			} else {
+				p.Stop()
+			}
+		}
 	}()
 	return p.Run()
 }
@@ -97,7 +106,10 @@
 	gaddr string // of the gRPC front, "" where that is off
 
 	front     *platform.Front
+	channel   *platform.Channel
 	exporters []*metrics.Exporter
+	lastCall  int64 // how long after Stop what is still open is answered
+	leaving   bool  // told to end
 }
 
 // start joins the parts and begins to listen; Run serves.
@@ -128,9 +140,10 @@
 	}
 	p.nodes.Use(p.c)
 	p.front = platform.NewFront(p.l, p.c, budget/2, log)
-	channel := platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
-	channel.Apply(cfg.Known, true)
-	channel.Start()
+	p.lastCall = lastCall(cfg.Settings)
+	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
+	p.channel.Apply(cfg.Known, true)
+	p.channel.Start()
 	if p.addr, err = p.front.Listen(cfg.Listen); err != nil {
 		return nil, err
 	}
@@ -193,10 +206,38 @@
 	}
 }
 
+// lastCall is how long after SIGTERM requests may stay open.
+func lastCall(s ravenhitch.Settings) (us int64) {
+	for _, c := range s.Classes {
+		us = max(us, c.DeadlineUs)
+	}
+	return max(stillComing, min(us, deadlineMost)+killSlack-quitEarly)
+}
+
+// Reload takes up the configuration file as it is now: of a running program only
+// the command channel's address can change, the rest waits for a restart. The file
+// is read and checked as a whole first; one that can't be used changes nothing. It
+// may be called from any goroutine.
+func (p *program) Reload(path string) {
+	p.l.Post(func() {
+		cfg, err := config.Load(path)
+		if err != nil {
+			p.log.Error("the new configuration was not taken; the old one holds", "err", err)
+			return
+		}
+		p.log.Info("configuration read again", "channel", cfg.Channel)
+		p.channel.Follow(cfg.Channel)
+	})
+}
+
 // Stop makes Run end once what was taken is answered. It may be called from any
-// goroutine.
+// goroutine, and more than once.
 func (p *program) Stop() {
 	p.l.Post(func() {
+		if p.leaving {
+			return
+		}
+		p.leaving = true
 		if p.grpc != nil {
 			p.grpc.Leave()
 		}
@@ -234,7 +275,7 @@
 // and answers what is left before the kill comes.
 func (p *program) end(since int64) {
 	switch age := p.l.Now() - since; {
-	case age >= lastCall:
+	case age >= p.lastCall:
 		p.c.Quit(p.l.Now())
 		p.l.Stop()
 	case age >= stillComing && p.c.Open() == 0:
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"ravenhitch"
 )
 
 // A task belongs to no connection: its end goes to another owner's connection, or
@@ -254,6 +256,54 @@
 	}
 }
 
+// A new configuration moves the program to another command channel, which it asks
+// for what follows the last event; one that can't be used changes nothing. What is
+// open and what stands is not touched.
+func TestReload(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	w.feed.heard(t)
+	next := newFeed(t)
+	next.events = append(next.events, w.feed.events...)
+	b := newMinion(t, "b")
+	next.add(false, w.minions[0].member("draining"), b.member("up"))
+	path := filepath.Join(t.TempDir(), "config.json")
+	for _, text := range []string{"{", configText(next)} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.Reload(path)
+	}
+	if n := wait(t, "the new channel is asked", next.asked); n != 1 {
+		t.Errorf("asked for what follows %d", n)
+	}
+	next.heard(t)
+	w.feed.srv.CloseClientConnections()
+	send(o, setUp(tag(2), "guide-web", "ok-2", 5000))
+	if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || *l.Blob != "b holds about ok-2" {
+		t.Errorf("got %v", l)
+	}
+	w.minions[0].end(tag(1), 16)
+	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+		t.Errorf("got %v", l)
+	}
+	next.add(false, b.member("draining"))
+	next.heard(t)
+}
+
+// What is open at SIGTERM is answered before the kill comes, which hangs on the
+// longest deadline.
+func TestLastCall(t *testing.T) {
+	for longest, want := range map[int64]int64{1_000_000: 1_400_000, 10_000_000: 3_400_000, 100_000: stillComing} {
+		s := ravenhitch.Settings{Classes: []ravenhitch.Class{{DeadlineUs: 50_000}, {DeadlineUs: longest}}}
+		if got := lastCall(s); got != want {
+			t.Errorf("longest deadline %d: last call after %d, expected %d", longest, got, want)
+		}
+	}
+}
+
 // The program itself: a configuration that cannot be used ends it with one line,
 // SIGTERM with exit code 0 after what is open is answered.
 func TestProgram(t *testing.T) {
@@ -299,6 +349,13 @@
 	o := w.owner(t)
 	send(o, setUp(tag(1), "guide-web", "silent-1", 1500))
 	wait(t, "the offer", m.starts)
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Process.Signal(syscall.SIGHUP) // a file that can't be used: one line, and it goes on
+	for l := ""; !strings.Contains(l, "was not taken"); {
+		l = wait(t, "the line about the file", lines)
+	}
 	began := time.Now()
 	cmd.Process.Signal(syscall.SIGTERM)
 	if l := wait(t, "the answer", o.lines); l.Verb != "FINISH" || l.Tag != tag(1) || l.Opts["wait"] != "1000" {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -59,16 +59,19 @@
 
 // Timer is a call to come.
 type Timer struct {
+	l    *Loop
 	at   int64
 	f    func()
-	i    int
+	i    int // in the heap
 	dead bool
 }
 
-// Stop lets go of the timer.
+// Stop lets go of the timer. It leaves the heap at once: timers are stopped far
+// more often than they fire, and would lie there until their time.
 func (t *Timer) Stop() {
-	if t != nil {
+	if t.Pending() {
 		t.dead, t.f = true, nil
+		heap.Remove(&t.l.timers, t.i)
 	}
 }
 
@@ -76,8 +79,16 @@
 
 func (h timers) Len() int           { return len(h) }
 func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timers) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timers) Push(x any)        { *h = append(*h, x.(*Timer)) }
+
+func (h timers) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].i, h[j].i = i, j
+}
+func (h *timers) Push(x any) {
+	t := x.(*Timer)
+	t.i = len(*h)
+	*h = append(*h, t)
+}
 func (h *timers) Pop() any {
 	old := *h
 	t := old[len(old)-1]
@@ -165,7 +176,7 @@
 
 // At calls f once the clock has reached at.
 func (l *Loop) At(at int64, f func()) *Timer {
-	t := &Timer{at: at, f: f}
+	t := &Timer{l: l, at: at, f: f}
 	heap.Push(&l.timers, t)
 	return t
 }
@@ -581,12 +592,11 @@
 }
 
 func (l *Loop) due() {
-	for len(l.timers) > 0 && (l.timers[0].dead || l.timers[0].at <= l.now) {
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
 		t := heap.Pop(&l.timers).(*Timer)
-		if !t.dead {
-			t.dead = true
-			t.f()
-		}
+		f := t.f
+		t.dead, t.f = true, nil
+		f()
 	}
 }
 
@@ -596,9 +606,6 @@
 	if l.again {
 		return 0
 	}
-	for len(l.timers) > 0 && l.timers[0].dead {
-		heap.Pop(&l.timers)
-	}
 	if len(l.timers) == 0 {
 		return 1000
 	}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -31,8 +31,9 @@
 	addr   string
 	dialUs int64
 	cursor int64
-	c      *loop.Conn
-	limit  *loop.Timer
+	c      *loop.Conn  // the call under way, or nil
+	limit  *loop.Timer // of that call
+	again  *loop.Timer // the next dial
 }
 
 // NewChannel returns a follower that begins after cursor.
@@ -104,20 +105,40 @@
 	c, err := ch.l.Dial(ch.addr, ch.dialUs, ch)
 	if err != nil {
 		ch.log.Warn("the command channel can't be reached", "err", err)
-		ch.l.After(againAfter, ch.Start)
+		ch.startIn(againAfter)
 		return
 	}
 	ch.c = c
 }
 
+// startIn asks anew after a while. What the last call had not brought whole comes
+// again, as the cursor stands after the last event that was applied.
+func (ch *Channel) startIn(us int64) {
+	ch.limit.Stop()
+	ch.again.Stop()
+	if ch.c != nil {
+		ch.c.Close()
+		ch.c = nil
+	}
+	ch.again = ch.l.After(us, ch.Start)
+}
+
+// Follow goes on at another address with what follows the last event. The old
+// one tells nothing more, so what it was asked is dropped.
+func (ch *Channel) Follow(addr string) {
+	if addr != ch.addr {
+		ch.addr = addr
+		ch.startIn(0)
+	}
+}
+
 func (ch *Channel) ask() {
 	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
 		ch.cursor, blockMs, ch.addr)))
 	ch.limit.Stop()
 	ch.limit = ch.l.After(blockMs*1000+answerSlack, func() {
 		ch.log.Warn("the command channel is silent", "cursor", ch.cursor)
-		ch.c.Close()
-		ch.Start()
+		ch.startIn(0)
 	})
 }
 
@@ -126,15 +147,14 @@
 
 // Closed implements loop.Handler.
 func (ch *Channel) Closed(_ *loop.Conn, err error) {
-	ch.limit.Stop()
 	if !errors.Is(err, loop.ErrEOF) {
 		ch.log.Warn("the command channel broke off", "cursor", ch.cursor, "err", err)
 	}
-	ch.l.After(againAfter, ch.Start)
+	ch.startIn(againAfter)
 }
 
 // Data implements loop.Handler.
-func (ch *Channel) Data(c *loop.Conn, b []byte) (int, error) {
+func (ch *Channel) Data(_ *loop.Conn, b []byte) (int, error) {
 	r, used, err := parseResponse(b)
 	if err != nil || used == 0 {
 		return 0, err
@@ -155,8 +175,7 @@
 	ch.limit.Stop()
 	ch.Apply(u, false)
 	if !r.keep {
-		c.Close()
-		ch.l.After(0, ch.Start)
+		ch.startIn(0)
 		return used, nil
 	}
 	ch.ask()
