Turn away at the front what owners may not send, and answer it in time

Ruled out: unread output (they read), memory (6 MB), CPU (0.06 s in the worst second).

Bytes that are no message end the connection at once; what was open on it is answered first rather than waited for. Only the connection a set-up came on can withdraw it; ends go to connections that a task was bound on, not to whoever spoke last. An OPEN task at a minion that no list names ends within 2 s. The loop no longer pauses connections, since nothing asks for it.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -139,7 +139,7 @@
 		return nil, err
 	}
 	p.nodes.Use(p.c)
-	p.front = platform.NewFront(p.l, p.c, budget/2, log)
+	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
 	p.lastCall = lastCall(cfg.Settings)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	p.channel.Apply(cfg.Known, true)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,6 +28,7 @@
 	Seed                  uint64
 	MemoryMB, Sockets     int64
 	DialTimeoutUs         int64
+	ConnIdleUs            int64 // 0: idle connections stay
 	Known                 Update
 	Settings              ravenhitch.Settings
 }
@@ -72,6 +73,7 @@
 		Name: j.Get("name").String(), Listen: j.Get("listen").String(), Channel: j.Get("channel").String(),
 		MemoryMB: j.Get("limits.memory_mb").Int(), Sockets: j.Get("limits.sockets").Int(),
 		DialTimeoutUs: j.Get("settings.Limits.DialTimeoutUs").Int(),
+		ConnIdleUs:    max(0, j.Get("settings.Limits.ConnIdleUs").Int()),
 	}
 	for name, addr := range map[string]string{"listen": c.Listen, "channel": c.Channel} {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,7 +30,13 @@
 	cutWait = 700_000
 	// orphanAfter is how long a task may stand on a node that is on no list.
 	orphanAfter = 3_000_000
-	sweepEvery  = 500_000
+	// openAfter is the same for a task that was handed in as standing on a node that
+	// no list ever named: nobody else will tell its owner.
+	openAfter  = 1_500_000
+	sweepEvery = 500_000
+	// toldMost is how long it is remembered that a node has left: well past the
+	// last offer that could still be meant for it.
+	toldMost = 60_000_000
 	// drainMargin is how long before the drain limit offers end here.
 	drainMargin = 500_000
 	// ownAdvice is how long owners are told to stay away by refusals that are the
@@ -267,6 +273,9 @@
 	if s.At != "" {
 		c.counts.Opened++
 		r.state, r.node, r.mayRun = standing, s.At, true
+		if !c.listed[s.At] {
+			r.lostAt = now - (orphanAfter - openAfter)
+		}
 		c.event(ravenhitch.Existing{Task: task, Machine: s.At})
 		return nil
 	}
@@ -368,6 +377,35 @@
 	return r != nil && r.Resumes
 }
 
+// Stands reports whether a tag names a task that stands.
+func (c *Core) Stands(tag string) bool {
+	r := c.find(tag)
+	return r != nil && r.state == standing
+}
+
+// Leaves reports whether a tag names a task that was released or moved and of whose
+// end the node has not told.
+func (c *Core) Leaves(tag string) bool {
+	r := c.reqs[tag]
+	return r != nil && r.state == leaving
+}
+
+// Listed reports whether a node is on the list.
+func (c *Core) Listed(node string) bool { return c.listed[node] }
+
+// Refuse answers a request of o's that is still open, because nothing more can be
+// heard of o on its connection.
+func (c *Core) Refuse(now int64, o Owner, tag string) {
+	c.now = now
+	r := c.find(tag)
+	if r == nil || r.owner != o || r.state != waiting && r.state != out {
+		return
+	}
+	c.event(ravenhitch.ClientGone{Ticket: r.Tag})
+	r.mayRun = r.mayRun || r.state == out
+	c.finish(r, ownAdvice)
+}
+
 // Withdraw takes an owner's word that it no longer wants a task, whether that
 // still waits for its answer or stands. No answer is owed then. Where o is not
 // nil, only a request that is still o's is withdrawn.
@@ -506,10 +544,15 @@
 	c.now = now
 	c.channel = true
 	if l.Kind == ravenhitch.ListFull || l.Kind == ravenhitch.ListCached {
+		for node := range c.listed { // what a whole list does not name is gone
+			c.told[node] = now
+		}
 		clear(c.listed)
 	}
 	for _, e := range l.Entries {
-		c.listed[e.Machine] = e.State != ravenhitch.Gone
+		if c.listed[e.Machine] = true; e.State == ravenhitch.Gone {
+			delete(c.listed, e.Machine)
+		}
 		if e.State == ravenhitch.Ready {
 			delete(c.told, e.Machine)
 		} else if _, ok := c.told[e.Machine]; !ok {
@@ -599,6 +642,12 @@
 	if !c.channel {
 		return
 	}
+	for node, at := range c.told {
+		// Nodes come and go with new names for ever.
+		if !c.listed[node] && c.now-at > toldMost {
+			delete(c.told, node)
+		}
+	}
 	for _, r := range c.sorted() {
 		if r.state != standing || c.listed[r.node] {
 			r.lostAt = 0
@@ -743,12 +792,7 @@
 func (c *Core) Quit(now int64) {
 	c.now = now
 	for _, r := range c.sorted() {
-		if r.state == waiting || r.state == out {
-			if r.state == out {
-				r.mayRun = true
-			}
-			c.finish(r, ownAdvice)
-		}
+		c.Refuse(now, r.owner, r.Tag)
 	}
 	c.events = nil
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -1,12 +1,13 @@
 package platform
 
 // This file owns the connections from owners: which set-ups came on which, what
-// is still owed to each, and the releases that found no connection. It decides
-// nothing about tasks, and must never close a connection that is owed an answer
-// while it can still be given one.
+// is still owed to each, how long one may keep a place without a use for it, and
+// the releases that found no connection. What an owner may not send is turned
+// away here and never passed on. It decides nothing about tasks, and must never
+// close a connection that is owed an answer before that answer is written.
 
 import (
-	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -34,22 +35,40 @@
 	l      *loop.Loop
 	core   *core.Core
 	log    *Limited
-	most   int // connections
+	most   int   // connections
+	idleUs int64 // after which a connection without a set-up is closed
 	conns  map[*owner]bool
-	latest *owner
+	latest *owner   // the one that spoke last, of those that a task was bound for
 	unsent [][]byte // releases that found no connection
 }
 
-// idleLeast is how long a connection must have been quiet to be closed for
-// another: a set-up may be on its way on one that was just used.
-const idleLeast = 1_000_000
-
-// unsentMost bounds the releases that wait for an owner to connect.
-const unsentMost = 10_000
+const (
+	// idleLeast is how long a connection must have been quiet to be closed for
+	// another: a set-up may be on its way on one that was just used. hushLeast is the
+	// same for one that never said anything: what connects to ask does so at once.
+	idleLeast = 1_000_000
+	hushLeast = 100_000
+	// hushMost is how long a connection may take for its first message, and for the
+	// rest of a message that has begun. Whoever needs longer is told by the close.
+	hushMost   = 1_500_000
+	sweepEvery = 250_000
+	// unsentMost bounds the releases that wait for an owner to connect.
+	unsentMost = 10_000
+	// A connection on which no task was bound yet may have openMost set-ups open,
+	// more are refused at once, and faultsMost messages that can't be used. It guards
+	// the turn of the usual owners, whose connections carry tasks that stand.
+	openMost   = 32
+	faultsMost = 64
+	// leftMost is the longest wait that makes sense, in milliseconds; keyMost the
+	// longest name of a task.
+	leftMost = 86_400_000
+	keyMost  = 64
+)
 
-// NewFront returns a front that holds at most so many connections.
-func NewFront(l *loop.Loop, c *core.Core, most int, log *slog.Logger) *Front {
-	return &Front{l: l, core: c, most: most, log: NewLimited(log), conns: map[*owner]bool{}}
+// NewFront returns a front that holds at most so many connections, each for
+// idleUs after its last message at the longest, 0 for ever.
+func NewFront(l *loop.Loop, c *core.Core, most int, idleUs int64, log *slog.Logger) *Front {
+	return &Front{l: l, core: c, most: most, idleUs: idleUs, log: NewLimited(log), conns: map[*owner]bool{}}
 }
 
 // Connections is how many owners are connected.
@@ -57,33 +76,52 @@
 
 // Listen starts to accept owners.
 func (f *Front) Listen(addr string) (string, error) {
+	f.l.After(sweepEvery, f.sweep)
 	return f.l.Listen(addr, f.room, func() loop.Handler {
-		o := &owner{f: f, open: map[string]bool{}}
-		return o
+		return &owner{f: f, open: map[string]bool{}}
 	})
 }
 
-// room closes the connection with nothing on it that was quiet longest where the
-// limit is reached.
+// room makes room where the limit is reached: it closes a connection with nothing
+// open on it, first of all the one that has been silent longest since it came, else
+// the one quiet longest. Those that say nothing come by the hundred.
 func (f *Front) room() bool {
 	if len(f.conns) < f.most {
 		return true
 	}
-	var idle *owner
+	var best *owner
+	now := f.l.Now()
 	for o := range f.conns {
-		if len(o.open) == 0 && (idle == nil || o.usedAt < idle.usedAt) {
-			idle = o
+		if len(o.open) > 0 || now-o.usedAt < o.restLeast() {
+			continue
+		}
+		if best == nil || !o.spoke && best.spoke || o.spoke == best.spoke && o.usedAt < best.usedAt {
+			best = o
 		}
 	}
-	if idle == nil || f.l.Now()-idle.usedAt < idleLeast {
+	if best == nil {
 		f.log.Warn("no room for another owner", "connections", len(f.conns))
 		return false
 	}
-	f.drop(idle)
-	idle.c.Close()
+	best.end()
 	return true
 }
 
+// sweep closes the connections that keep a place and have no use for it.
+func (f *Front) sweep() {
+	now := f.l.Now()
+	for o := range f.conns {
+		switch {
+		case !o.spoke && now-o.usedAt > hushMost, o.halfAt > 0 && now-o.halfAt > hushMost:
+			f.log.Warn("an owner's message never came whole", "spoke", o.spoke)
+			o.end()
+		case len(o.open) == 0 && f.idleUs > 0 && now-o.usedAt > f.idleUs:
+			o.end()
+		}
+	}
+	f.l.After(sweepEvery, f.sweep)
+}
+
 func (f *Front) drop(o *owner) {
 	delete(f.conns, o)
 	if f.latest == o {
@@ -91,14 +129,16 @@
 	}
 }
 
-// any returns a connection that is up, or nil: the one used last, if it is.
+// any returns a connection that is up, or nil: the one used last of those that a
+// task was bound for, else of those that spoke. It keeps releases from going to
+// ones that never had a task.
 func (f *Front) any() *owner {
-	if f.latest != nil && f.latest.c.Up() && !f.latest.bad {
+	if f.latest != nil && f.latest.c.Up() {
 		return f.latest
 	}
 	var best *owner
 	for o := range f.conns {
-		if o.c.Up() && !o.bad && (best == nil || o.usedAt > best.usedAt) {
+		if o.c.Up() && o.spoke && (best == nil || o.bound && !best.bound || o.bound == best.bound && o.usedAt > best.usedAt) {
 			best = o
 		}
 	}
@@ -110,17 +150,24 @@
 	f      *Front
 	c      *loop.Conn
 	open   map[string]bool // set-ups that are owed an answer
-	usedAt int64
-	bad    bool // sent something malformed
+	usedAt int64           // when it came, or when its last whole message did
+	halfAt int64           // since when half a message waits for the rest, or 0
+	spoke  bool            // a whole message came
+	bound  bool            // a task of its was bound, or found running
+	faults int             // messages that can't be used
+}
+
+// restLeast is how long it must have been quiet to be closed for another.
+func (o *owner) restLeast() int64 {
+	if o.spoke {
+		return idleLeast
+	}
+	return hushLeast
 }
 
 func (o *owner) Opened(c *loop.Conn) {
 	o.c, o.usedAt = c, o.f.l.Now()
 	o.f.conns[o] = true
-	for _, b := range o.f.unsent {
-		c.Write(b)
-	}
-	o.f.unsent = nil
 }
 
 func (o *owner) Closed(_ *loop.Conn, _ error) {
@@ -131,53 +178,58 @@
 	o.open = nil
 }
 
-func (o *owner) Data(c *loop.Conn, b []byte) (int, error) {
+// end closes the connection from this side. What is open on it is answered
+// first, at once: nothing more that comes on it can be read.
+func (o *owner) end() {
+	for _, tag := range slices.Sorted(maps.Keys(o.open)) {
+		o.f.core.Refuse(o.f.l.Now(), o, tag)
+	}
+	o.f.drop(o)
+	o.c.Close()
+}
+
+func (o *owner) Data(_ *loop.Conn, b []byte) (int, error) {
 	now := o.f.l.Now()
-	o.usedAt, o.f.latest = now, o
 	used, err := lines(b, func(line []byte) error {
 		m, err := Parse(line)
 		if err != nil {
 			return err
 		}
-		o.message(now, &m)
-		return nil
+		return o.message(now, &m)
 	})
-	if err == nil {
+	if err != nil {
+		o.f.log.Warn("malformed message from an owner", "err", err)
+		o.end()
 		return used, nil
 	}
-	o.f.log.Warn("malformed message from an owner", "err", err)
-	if len(o.open) == 0 {
-		return used, err
+	switch {
+	case used == len(b):
+		o.halfAt = 0
+	case used > 0 || o.halfAt == 0:
+		o.halfAt = now
 	}
-	// What was taken before is still owed its answer.
-	o.bad = true
-	c.Pause()
-	return len(b), nil
+	return used, nil
 }
 
-func (o *owner) message(now int64, m *Message) {
+// message takes one message. An error ends the connection.
+func (o *owner) message(now int64, m *Message) error {
+	o.usedAt, o.spoke = now, true
+	if o.bound {
+		o.f.latest = o
+	}
+	for _, b := range o.f.unsent {
+		o.c.Write(b)
+	}
+	o.f.unsent = nil
 	switch m.Verb {
 	case verbStart:
-		s, ok := setup(m)
-		if !ok {
-			o.f.log.Warn("a set-up without a usable tag, class or wait", "tag", m.Tag)
-			if m.Tag != "" && !o.open[m.Tag] {
-				o.send(&Message{Verb: verbFinish, Tag: m.Tag, RC: causeError, HasRC: true})
-			}
-			return
-		}
-		if s.At == "" {
-			o.open[s.Tag] = true
-		}
-		if err := o.f.core.Submit(now, o, s); err != nil {
-			o.f.log.Warn("a set-up was not taken", "tag", m.Tag, "err", err)
-			if !errors.Is(err, core.ErrTag) {
-				o.Answer(core.Answer{Kind: core.Failed, Tag: m.Tag})
-			}
-		}
+		return o.setup(now, m)
 	case verbFinish:
-		delete(o.open, m.Tag)
-		if !o.f.core.Resumable(m.Tag) { // else it came by another front
+		switch {
+		case o.open[m.Tag]:
+			delete(o.open, m.Tag)
+			o.f.core.Withdraw(now, o, m.Tag)
+		case o.f.core.Stands(m.Tag) && !o.f.core.Resumable(m.Tag): // else another's, or by another front
 			o.f.core.Withdraw(now, nil, m.Tag)
 		}
 		o.send(&Message{Verb: verbFinished, Tag: m.Tag})
@@ -185,39 +237,102 @@
 		o.send(&Message{Verb: verbEchoed, Tag: m.Tag, RC: 1, HasRC: true})
 	case verbPending, verbFinished, verbEchoed, verbNotice:
 	default:
-		o.f.log.Warn("a message of an unknown type", "verb", m.Verb)
+		return o.fault(m.Tag, fmt.Errorf("%w: unknown type %.40q", ErrMessage, m.Verb))
 	}
+	return nil
 }
 
-// setup reads what a set-up asks for.
-func setup(m *Message) (core.Setup, bool) {
+// setup takes a set-up, or turns it away with an answer of its own.
+func (o *owner) setup(now int64, m *Message) error {
+	s, err := setup(m)
+	if _, ok := o.f.core.Class(s.Class); err == nil && !ok {
+		err = fmt.Errorf("%w: unknown class %.40q", ErrMessage, s.Class)
+	}
+	switch {
+	case o.open[m.Tag]:
+		// An answer could not be told to be for one or the other: one for both.
+		o.f.core.Refuse(now, o, m.Tag)
+		o.f.log.Warn("a set-up's tag is in use on its connection", "tag", m.Tag)
+		return o.faulty()
+	case err != nil:
+		return o.fault(m.Tag, err)
+	case s.At == "" && !o.bound && len(o.open) >= openMost:
+		o.Answer(core.Answer{Kind: core.Refused, Tag: m.Tag, WaitUs: idleLeast})
+		o.f.log.Warn("a new connection has too many set-ups open", "open", len(o.open))
+		return nil
+	}
+	if err := o.f.core.Submit(now, o, s); err != nil {
+		return o.fault(m.Tag, err)
+	}
+	if s.At == "" {
+		o.open[s.Tag] = true
+	} else if o.f.core.Listed(s.At) {
+		o.bound, o.f.latest = true, o
+	}
+	return nil
+}
+
+// fault answers a message that can't be used. What its tag may name elsewhere is
+// not touched.
+func (o *owner) fault(tag string, err error) error {
+	o.f.log.Warn("a message from an owner can't be used", "tag", tag, "err", err)
+	o.send(&Message{Verb: verbFinish, Tag: tag, RC: causeError, HasRC: true})
+	return o.faulty()
+}
+
+// faulty counts what can't be used, up to the end of the connection.
+func (o *owner) faulty() error {
+	if o.faults++; o.faults >= faultsMost && !o.bound {
+		return fmt.Errorf("%w: the %dth in a row that can't be used", ErrMessage, o.faults)
+	}
+	return nil
+}
+
+// setup reads what a set-up asks for. What lacks a figure, or has one that makes no
+// sense, is an error here: minions would answer it with errors of theirs, which say
+// nothing about them.
+func setup(m *Message) (core.Setup, error) {
 	s := core.Setup{Tag: m.Tag, Class: m.Opt("class"), Key: m.Opt("key"), Description: m.Blob}
-	if len(m.Tag) != 16 || strings.Trim(m.Tag, "0123456789abcdefABCDEF") != "" {
-		return s, false
+	bad := func(what string) (core.Setup, error) {
+		return s, fmt.Errorf("%w: a set-up without a usable %s", ErrMessage, what)
+	}
+	hex := func(v string) bool { return strings.Trim(v, "0123456789abcdefABCDEF") == "" }
+	if len(m.Tag) != 16 || !hex(m.Tag) {
+		return bad("tag")
 	}
 	for _, pair := range strings.Split(m.Opt("extras"), ";") {
 		name, value, _ := strings.Cut(pair, ":")
+		var err error
 		switch name {
 		case "cores":
-			s.Cores, _ = strconv.ParseFloat(value, 64)
+			s.Cores, err = strconv.ParseFloat(value, 64)
 		case "memory":
-			s.Mem, _ = strconv.ParseFloat(value, 64)
+			s.Mem, err = strconv.ParseFloat(value, 64)
 		case "service":
-			s.Service, _ = strconv.ParseUint(value, 16, 64)
+			s.Service, err = strconv.ParseUint(value, 16, 64)
 		case "at":
 			s.At = value
 		}
+		if err != nil {
+			return bad(name)
+		}
 	}
 	left, err := strconv.ParseFloat(m.Opt("left"), 64)
-	if s.At == "" && (err != nil || left != left) {
-		return s, false // absent, or not a number though ParseFloat takes it
+	fine := func(v float64) bool { return v > 0 && v < 1e9 }
+	switch {
+	case s.At == "" && (err != nil || !(left > 0 && left <= leftMost)):
+		return bad("wait")
+	case !fine(s.Cores) || !fine(s.Mem):
+		return bad("figure for cores or memory")
+	case s.Key == "" || len(s.Key) > keyMost:
+		return bad("key")
+	case !m.HasBlob:
+		return bad("description")
 	}
-	if s.At != "" {
-		left = 0 // no answer is waited for
+	if s.At == "" { // else no answer is waited for
+		s.WaitUs = int64(left * 1000)
 	}
-	s.WaitUs = int64(min(max(left, 0), 1e9) * 1000)
-	fine := func(v float64) bool { return v >= 0 && v < 1e9 }
-	return s, s.Class != "" && fine(s.Cores) && fine(s.Mem)
+	return s, nil
 }
 
 func (o *owner) send(m *Message) { o.c.Write(Append(nil, m)) }
@@ -243,17 +358,16 @@
 		m = Message{Verb: verbMove, Tag: a.Tag}
 	}
 	switch a.Kind {
-	case core.Started, core.Refused, core.Failed:
+	case core.Started:
+		o.bound = true
+		fallthrough
+	case core.Refused, core.Failed:
 		delete(o.open, a.Tag)
 		o.send(&m)
-		if o.bad && len(o.open) == 0 {
-			o.f.drop(o)
-			o.c.Close()
-		}
 		return
 	}
 	to := o
-	if !o.c.Up() || o.bad {
+	if !o.c.Up() {
 		to = o.f.any()
 	}
 	if to != nil {
