Settle half, spoilt and foreign answers of minions by what each proves

A NaN in a note passed as a figure. Ruled out: long lines and claimed lengths, which ended the connection already.

--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -285,6 +285,46 @@
 	}
 }
 
+// An answer that stops short, lacks its description or comes with more than is its
+// own: nothing spoilt is passed on, the connection is done for, others on it are
+// settled too, and the class decides on another attempt.
+func TestSpoiltAnswers(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	for i, kind := range []string{"half", "bare"} {
+		at := 10 * (i + 1)
+		send(o, setUp(tag(at), "guide-web", kind+"-web", 5000))
+		if l := wait(t, kind, o.lines); l.Verb != "STARTED" || l.Tag != tag(at) || *l.Blob != "about "+kind+"-web" {
+			t.Errorf("%s: got %v", kind, l)
+		}
+		// Others on the connection, and one that must not start twice, are not left to
+		// their deadline.
+		began := time.Now()
+		send(o, setUp(tag(at+1), "archive-cut", "silent-"+kind, 10_000))
+		send(o, setUp(tag(at+2), "archive-cut", kind+"-cut", 10_000))
+		for range 2 {
+			if l := wait(t, "a failure", o.lines); l.Verb != "FINISH" || l.rc() == 34 {
+				t.Errorf("%s: got %v", kind, l)
+			}
+		}
+		if d := time.Since(began); d > 3*time.Second {
+			t.Errorf("%s: settled after %s", kind, d)
+		}
+		if n := w.minions[0].counted(kind+"-cut") + w.minions[0].counted("silent-"+kind); n != 2 {
+			t.Errorf("%s: started %d times", kind, n)
+		}
+	}
+	send(o, setUp(tag(2), "guide-web", "twice-1", 5000))
+	send(o, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	verbs := wait(t, "one word", o.lines).Verb + wait(t, "another", o.lines).Verb
+	send(o, setUp(tag(3), "guide-web", "ok-3", 5000))
+	if l := wait(t, "the next task's answer", o.lines); l.Tag != tag(3) || len(verbs) != len("STARTEDECHOED") {
+		t.Errorf("got %v after %s", l, verbs)
+	}
+}
+
 // A minion whose process dies resets its connections and refuses new ones: what
 // stood there is told to be over.
 func TestDeadMinion(t *testing.T) {
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -59,7 +59,8 @@
 }
 
 // minion is a stand-in node. What it says to a set-up follows from the task's
-// name: ok-, full-, error-, silent- or reset-.
+// name: ok-, full-, error-, silent- or reset-; what it spoils at the first set-up of a
+// task it does well at the next: half-, bare-, twice- (a copy and a foreign answer).
 type minion struct {
 	name   string
 	ln     net.Listener
@@ -146,6 +147,14 @@
 		m.mu.Unlock()
 		blob := m.name + " holds " + *l.Blob
 		send(c, line{Verb: "STARTED", Tag: l.Tag, Opts: map[string]string{}, Blob: &blob})
+	case "half", "bare", "twice":
+		if m.counted(key) == 1 || kind == "twice" {
+			m.spoil(c, kind, l)
+			break
+		}
+		good := l
+		good.Verb = "STARTED"
+		send(c, good)
 	case "full":
 		full := cause("FINISH", l.Tag, 34)
 		full.Opts["note"] = "busy"
@@ -162,6 +171,29 @@
 	m.starts <- l
 }
 
+// spoil answers in a way that is not as it should be.
+func (m *minion) spoil(c net.Conn, kind string, l line) {
+	l.Verb = "STARTED"
+	b, err := json.Marshal(l)
+	if err != nil {
+		panic(err)
+	}
+	switch kind {
+	case "half":
+		c.Write(b[:len(b)/2])
+	case "bare":
+		l.Blob = nil
+		send(c, l)
+	case "twice":
+		foreign := l
+		foreign.Tag = tag(0xffff)
+		send(c, foreign)
+		send(c, cause("FINISH", foreign.Tag, 34))
+		send(c, l)
+		send(c, l)
+	}
+}
+
 // end lets a task come to its end with a cause, told on any open connection or
 // on the next one opened.
 func (m *minion) end(tag string, rc int) {
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -1,15 +1,23 @@
 package platform
 
 import (
+	"bufio"
 	"bytes"
 	"flag"
 	"fmt"
+	"log/slog"
+	"net"
 	"os"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
+	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
+
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
 )
 
 func TestMain(m *testing.M) {
@@ -162,6 +170,50 @@
 	}
 }
 
+// An offer on a connection that breaks before it left goes out on the next one,
+// once: it never ran, and the minion is not to blame.
+func TestOfferOnBrokenConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := loop.New(10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := NewNodes(l, 1_000_000, slog.New(slog.DiscardHandler))
+	n.Update("a", ln.Addr().String(), true)
+	n.Offer("a", core.Offer{Tag: "9b1f03aa5c7e2d41", Class: "cut", Key: "k", WaitUs: 5_000_000})
+	nc := n.links["a"].conns[0]
+	nc.c.Close()
+	nc.Closed(nc.c, unix.ECONNRESET)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := l.Run(func(int64) { n.Gather() }); err != nil {
+			t.Error(err)
+		}
+		l.Close()
+	}()
+	got := ""
+	for range 2 {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		text, _ := bufio.NewReader(c).ReadString('\n')
+		got += text
+		defer c.Close()
+	}
+	if strings.Count(got, `"verb":"START"`) != 1 {
+		t.Errorf("the minion got %q", got)
+	}
+	l.Post(l.Stop)
+	<-done
+}
+
 // A line of 16 KiB passes, a longer one is told before it is whole, and no
 // message grows on its way through.
 func TestLineLength(t *testing.T) {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math"
@@ -34,8 +35,16 @@
 	partAfter = 10_000_000
 	// strayMost bounds the connections to one minion.
 	strayMost = 4
+	// halfMost is how long half a message may wait for its rest. Minions write theirs
+	// whole: what stops short spoils all that would come behind it.
+	halfMost = 250_000
+	// triesMost is how often an offer is put on a connection that breaks before the
+	// offer has left; after that the minion counts as not reached.
+	triesMost = 3
 )
 
+var errHalf = fmt.Errorf("%w: it stops short", ErrMessage)
+
 // Nodes is the core's way to the minions.
 type Nodes struct {
 	l       *loop.Loop
@@ -90,17 +99,23 @@
 	open   map[string]*sent
 	early  [][]byte // messages that wait for the connection
 	readAt int64
-	mute   bool // an offer was given up on it, and nothing came in since
+	half   *loop.Timer // for the rest of half a message
+	mute   bool        // an offer was given up on it, and nothing came in since
 	probes map[string]int64
 }
 
 // sent is an offer without an answer.
 type sent struct {
-	at   int64
-	end  int64 // where its last byte lies in what was written
-	line []byte
+	core.Offer
+	at    int64
+	until int64 // when the core gives it up
+	end   int64 // where its last byte lies in what was written, 0 while it waits
+	tries int
 }
 
+// left reports whether the offer may have reached the minion whole.
+func (s *sent) left(c *loop.Conn) bool { return s.end > 0 && s.end <= c.Given() }
+
 // Update takes what the channel tells of a minion. A new address, or one that
 // another minion had, gets connections of its own.
 func (n *Nodes) Update(id, addr string, listed bool) {
@@ -147,27 +162,31 @@
 
 // Offer implements core.Nodes.
 func (n *Nodes) Offer(node string, o core.Offer) {
-	k := n.links[node]
-	if k == nil {
-		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold) })
-		return
+	now := n.l.Now()
+	n.offer(node, &sent{Offer: o, at: now, until: now + o.WaitUs})
+}
+
+func (n *Nodes) offer(node string, s *sent) {
+	var nc *nodeConn
+	if k := n.links[node]; k != nil {
+		nc = k.usable()
 	}
-	nc := k.usable()
 	if nc == nil {
-		n.later(func() { n.core.NodeEnded(n.l.Now(), node, o.Tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold) })
+		n.later(func() { n.core.NodeEnded(n.l.Now(), node, s.Tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold) })
 		return
 	}
-	m := Message{Verb: verbStart, Tag: o.Tag, Blob: o.Description, HasBlob: true, Opts: []Field{
-		{"class", o.Class}, {"key", o.Key}, {"left", strconv.FormatInt(max(1, o.WaitUs/1000), 10)}}}
-	nc.open[o.Tag] = &sent{at: n.l.Now(), line: Append(nil, &m)}
+	s.tries++
+	nc.open[s.Tag] = s
 	if nc.c.Up() {
-		nc.start(nc.open[o.Tag])
+		nc.start(s)
 	}
 }
 
 func (nc *nodeConn) start(s *sent) {
-	nc.c.Write(s.line)
-	s.end, s.line = nc.c.Taken(), nil
+	m := Message{Verb: verbStart, Tag: s.Tag, Blob: s.Description, HasBlob: true, Opts: []Field{{"class", s.Class},
+		{"key", s.Key}, {"left", strconv.FormatInt(max(1, (s.until-nc.k.n.l.Now())/1000), 10)}}}
+	nc.c.Write(Append(nil, &m))
+	s.end = nc.c.Taken()
 }
 
 // GiveUp implements core.Nodes.
@@ -182,7 +201,7 @@
 			continue
 		}
 		delete(nc.open, tag)
-		if s.line == nil {
+		if s.end > 0 {
 			nc.mute = nc.mute || nc.readAt < s.at
 			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 		}
@@ -324,7 +343,7 @@
 
 func (k *link) closeAll() {
 	for len(k.conns) > 0 {
-		k.conns[0].end(loop.ErrEOF)
+		k.conns[0].end(nil)
 	}
 }
 
@@ -334,16 +353,24 @@
 	nc.lost(err)
 }
 
-// lost takes the connection off its link and ends what was open on it. What had
-// not left this machine whole never ran; the rest may have.
+// lost takes the connection off its link and settles what was open on it. What had
+// left this machine whole may have run. What had not never ran: where the
+// connection broke under it, it goes out on another at once, which is not the
+// minion's doing; where none came up, it ends.
 func (nc *nodeConn) lost(err error) {
 	k := nc.k
+	nc.half.Stop()
 	k.conns = slices.DeleteFunc(k.conns, func(o *nodeConn) bool { return o == nc })
+	var again []*sent
 	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
 		s := nc.open[tag]
-		st := ravenhitch.Reset
-		if s.line != nil || s.end > nc.c.Given() {
-			st = ravenhitch.ConnectFailed
+		st := ravenhitch.ConnectFailed
+		switch {
+		case s.left(nc.c):
+			st = ravenhitch.Reset
+		case k.listed && s.tries < triesMost && broke(err):
+			again = append(again, s)
+			continue
 		}
 		k.n.later(func() { k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, st, ravenhitch.WhyUntold) })
 	}
@@ -351,6 +378,17 @@
 	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
 		nc.probed(tag, ravenhitch.ConnectFailed, "")
 	}
+	for _, s := range again {
+		s.end = 0
+		k.n.offer(k.id, s)
+	}
+}
+
+// broke reports whether a connection ended in a way that says nothing of whether
+// another one would come up.
+func broke(err error) bool {
+	return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, loop.ErrEOF) ||
+		errors.Is(err, ErrMessage)
 }
 
 func (nc *nodeConn) send(m *Message) {
@@ -390,7 +428,8 @@
 	case errors.Is(err, loop.ErrTimeout):
 		k.later()
 	default:
-		k.broke = k.broke || !errors.Is(err, loop.ErrEOF)
+		// Only a reset is what a dying process leaves; a message that can't be read is not.
+		k.broke = k.broke || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
 		if len(k.conns) == 0 {
 			k.later()
 		}
@@ -403,8 +442,11 @@
 // Data implements loop.Handler.
 func (nc *nodeConn) Data(_ *loop.Conn, b []byte) (int, error) {
 	nc.readAt, nc.mute = nc.k.n.l.Now(), false
-	return lines(b, func(line []byte) error {
+	used, err := lines(b, func(line []byte) error {
 		m, err := Parse(line)
+		if err == nil && m.Verb == verbStarted && !m.HasBlob {
+			err = fmt.Errorf("%w: an answer without a description", ErrMessage)
+		}
 		if err != nil {
 			nc.k.n.log.Warn("malformed message from a minion", "node", nc.k.id, "err", err)
 			return err
@@ -412,6 +454,16 @@
 		nc.message(&m)
 		return nil
 	})
+	if used > 0 {
+		nc.half.Stop()
+	}
+	if used < len(b) && err == nil && !nc.half.Pending() {
+		nc.half = nc.k.n.l.After(halfMost, func() {
+			nc.c.Close()
+			nc.Closed(nc.c, errHalf)
+		})
+	}
+	return used, err
 }
 
 var noteKinds = map[string]ravenhitch.NoteKind{"up": ravenhitch.NoteRuns, "cpu": ravenhitch.NoteCores,
@@ -428,22 +480,28 @@
 	n, id, now := nc.k.n, nc.k.id, nc.k.n.l.Now()
 	switch m.Verb {
 	case verbStarted:
-		if s := nc.open[m.Tag]; s != nil && s.line == nil {
+		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
 			delete(nc.open, m.Tag)
 			n.core.NodeStarted(now, id, m.Tag, m.Blob)
 			nc.k.prune()
 		}
 	case verbFinish:
-		delete(nc.open, m.Tag)
 		st, ok := statuses[m.RC]
 		if !ok {
 			st = ravenhitch.Reset
 		}
-		n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
-		nc.k.prune()
+		// An offer is answered on its own connection. Anything else is the end of a task
+		// that stands, or a copy or a foreign answer, which must end no attempt.
+		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
+			delete(nc.open, m.Tag)
+			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
+			nc.k.prune()
+		} else if n.core.Stands(m.Tag) || n.core.Leaves(m.Tag) {
+			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
+		}
 	case verbNotice:
 		v, err := strconv.ParseFloat(m.Opt("value"), 64)
-		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil || kind == ravenhitch.NoteRuns) {
+		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil && v >= 0 && v < 1e9 || kind == ravenhitch.NoteRuns) {
 			n.core.NodeNote(now, id, m.Tag, kind, v)
 		}
 	case verbEchoed:
