Blame a task, not its machines, for errors that two machines give

Ruled out: the front's turn (p99 to the first attempt 1 to 2 ms) and refusals for lack of room (1.03 attempts a task).

After an error the next attempt goes to another machine; it went to the same one, which keeps the program. A second machine's error ends the attempts and clears both. One machine's errors for different tasks put it out as before.

--- a/placer.go
+++ b/placer.go
@@ -382,7 +382,7 @@
 		if !p.allowed(m, c, t) {
 			continue
 		}
-		ok, room := p.healthy(m, t.class), p.fits(m, t)
+		ok, room := p.healthy(m, t.class) && !t.erredOn(m), p.fits(m, t)
 		if ok {
 			good++
 		} else {
@@ -644,7 +644,7 @@
 
 // hopeless reports whether nothing more can be done for a held task.
 func (p *Placer) hopeless(t *task) bool {
-	if t.DeadlineUs-p.now <= ticksEarly*max(p.s.TickUs, 1000) || t.stands {
+	if t.DeadlineUs-p.now <= ticksEarly*max(p.s.TickUs, 1000) || t.stands || t.unfit {
 		return true
 	}
 	if p.s.AttemptsCap > 0 && len(t.attempts) >= p.s.AttemptsCap {
@@ -718,7 +718,7 @@
 	case e.Status == ConnectFailed:
 		a.m.hurt(p.now, silenceHurt)
 	case e.Status == Failed:
-		a.m.hurt(p.now, errorHurt)
+		p.erred(t, a)
 	case e.Status == Reset && (!ran || e.Why == WhyUntold):
 		a.m.hurt(p.now, errorHurt)
 	case e.Status == Full && e.Why == WhyQueue:
@@ -730,6 +730,26 @@
 	}
 }
 
+// erred takes an error. It counts against the machine, unless another machine gave
+// one for the same task: then the task can't be used, no further machine is asked,
+// and those that were are cleared. It guards against tasks that no machine can use,
+// each of which would keep several healthy machines out. It would harm where machines
+// fail so often that two errors in a row are chance.
+func (p *Placer) erred(t *task, a *attempt) {
+	a.erred = true
+	a.m.hurt(p.now, errorHurt)
+	if !slices.ContainsFunc(t.attempts, func(b *attempt) bool { return b.erred && b.m != a.m }) {
+		return // the next attempt goes to another machine, if there is one
+	}
+	t.unfit = true
+	for _, b := range t.attempts {
+		if b.erred {
+			b.erred = false
+			b.m.hurt(p.now, -errorHurt)
+		}
+	}
+}
+
 // silent takes an attempt that got no answer. It counts against the machine, but
 // where that answered since the attempt went out, it is there: against the class
 // alone if it answered others only, and little if it answered the same, as then a
@@ -754,7 +774,7 @@
 }
 
 func (m *machine) doubt(now int64, class int, by float64) {
-	m.doubts[class] = doubt{min(suspectMost, m.suspicion(now, class)+by), now}
+	m.doubts[class] = doubt{min(suspectMost, max(0, m.suspicion(now, class)+by)), now}
 }
 
 func (m *machine) heal(now int64, class int) {
--- a/placer_test.go
+++ b/placer_test.go
@@ -405,6 +405,37 @@
 	b.placed(b.at(10*second, Request{Task{Ticket: "3", Class: "safe", Cores: 1, Mem: 2, DeadlineUs: b.now + 15*second, Program: 9}}), "a")
 }
 
+// Errors of two machines for one task speak against the task: it is asked of no
+// third, and both machines get the next tasks as before. One machine's errors for
+// different tasks still put it out.
+func TestErrorsOfTwoMachinesSpeakAgainstTheTask(t *testing.T) {
+	b := newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, 30), small("c", 1, 30))
+	actions := b.at(ms, b.request("1", "safe", 1, 2))
+	asked := map[string]bool{}
+	for i := range 2 {
+		m := of[Place](actions)[0].Machine
+		asked[m] = true
+		actions = b.at(ms, Done{Ticket: "1", Attempt: i, Machine: m, Status: Failed})
+	}
+	if len(of[Place](actions)) != 0 || len(of[Deny](actions)) != 1 || len(asked) != 2 {
+		t.Fatalf("after errors of %v: %v", asked, actions)
+	}
+	for _, m := range b.p.order {
+		if !b.p.healthy(m, 0) || m.suspicion(b.now, 0) > 0.01 {
+			t.Errorf("%s: suspicion %v", m.Machine, m.suspicion(b.now, 0))
+		}
+	}
+	b = newBed(t, testSettings(), 1, small("a", 0, 30))
+	for i := range 2 {
+		ticket := fmt.Sprint(i)
+		b.at(ms, b.request(ticket, "unsafe", 1, 2))
+		b.at(ms, Done{Ticket: ticket, Machine: "a", Status: Failed})
+	}
+	if b.p.healthy(b.p.order[0], 0) {
+		t.Error("a machine that fails every task is well")
+	}
+}
+
 func TestHealthAloneNeverTurnsTheFleetAway(t *testing.T) {
 	b := newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, 30))
 	for _, m := range []string{"a", "b"} {
--- a/state.go
+++ b/state.go
@@ -68,6 +68,7 @@
 	waits    bool // no Accepted and no outcome yet
 	done     bool
 	starting bool
+	erred    bool // it was answered with an error
 }
 
 // task is a request that is owed an answer, or a task that runs.
@@ -82,6 +83,7 @@
 	over     bool     // its owner gave it up; an attempt is still out
 	mayRun   *attempt // the first attempt that may have run
 	stands   bool     // a machine said that a copy stands
+	unfit    bool     // two machines gave an error for it
 	useC     float64  // cores it was seen to use, over cores asked; 0: not told
 	useM     float64
 	rank     float64
@@ -266,6 +268,11 @@
 	}
 }
 
+// erredOn reports whether m answered t with an error.
+func (t *task) erredOn(m *machine) bool {
+	return slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.erred && a.m == m })
+}
+
 func (p *Placer) holds(t *task, sign float64) {
 	p.ownTotal += sign * t.Cores
 	if i, ok := p.tenants[t.Tenant]; ok {
