Replace a minion's connection that fell silent, also where no offer goes there

The minion tells ends on the next connection opened: none was. Ruled out: the owners' side (no connection of theirs closed, no release waited).

When one comes up after a failure the module hears so (Reached) and tries the minion again, one attempt at a time; a minion that takes connections and answers nothing is not taken back twice.

--- a/api.go
+++ b/api.go
@@ -230,6 +230,9 @@
 		RTTUs   int64
 		Load    Load
 	}
+	// Reached says that a machine took a connection after one to it had failed or
+	// fallen silent.
+	Reached    struct{ Machine string }
 	Bell       struct{ Ref string }
 	ClientGone struct{ Ticket string }
 )
@@ -241,6 +244,7 @@
 func (Done) event()       {}
 func (Note) event()       {}
 func (Sampled) event()    {}
+func (Reached) event()    {}
 func (Bell) event()       {}
 func (ClientGone) event() {}
 
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -271,6 +271,27 @@
 	}
 }
 
+// Where tasks stand and nothing comes in, the connection may be dead without a sign:
+// another one is opened, on which the minion tells the ends.
+func TestQuietConnection(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
+	wait(t, "the answer", o.lines)
+	m := w.minions[0]
+	m.mu.Lock()
+	dials := m.dials
+	clear(m.conns) // the minion has forgotten them
+	for m.dials == dials {
+		m.came.Wait()
+	}
+	m.mu.Unlock()
+	m.end(tag(1), 16)
+	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+		t.Errorf("got %v", l)
+	}
+}
+
 // A connection that breaks after the offer proves nothing: such a task is not
 // sent again.
 func TestResetAfterOffer(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -528,6 +528,24 @@
 	c.event(e)
 }
 
+// NodeReached takes it that a node took a connection after one to it had failed or
+// fallen silent.
+func (c *Core) NodeReached(now int64, node string) {
+	c.now = now
+	c.event(ravenhitch.Reached{Machine: node})
+}
+
+// Held is how many tasks stand at each node, or are being ended there.
+func (c *Core) Held() map[string]int {
+	held := map[string]int{}
+	for _, r := range c.reqs {
+		if r.state == standing || r.state == leaving {
+			held[r.node]++
+		}
+	}
+	return held
+}
+
 // NodeLost takes a proof that the process of a node has died: what stood there
 // is cut, and nobody will tell.
 func (c *Core) NodeLost(now int64, node string) {
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 
+	"ravenhitch"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/loop"
 )
@@ -183,6 +184,13 @@
 		t.Fatal(err)
 	}
 	n := NewNodes(l, 1_000_000, slog.New(slog.DiscardHandler))
+	c, err := core.New(ravenhitch.Settings{FleetSize: 1, CoresMultiple: 1, MemoryMultiple: 1,
+		Classes: []ravenhitch.Class{{Name: "cut", Effect: ravenhitch.Unsafe, Kind: -1}},
+		Kinds:   []ravenhitch.Kind{{Name: "std", Cores: 1, Memory: 1}}}, 1, n, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Use(c)
 	n.Update("a", ln.Addr().String(), true)
 	n.Offer("a", core.Offer{Tag: "9b1f03aa5c7e2d41", Class: "cut", Key: "k", WaitUs: 5_000_000})
 	nc := n.links["a"].conns[0]
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -33,6 +33,11 @@
 	// partAfter is how long the connections to a minion that left the list are kept
 	// for what it still has to say: one that vanished would keep them for ever.
 	partAfter = 10_000_000
+	// quietMost is how long nothing may come in on a connection to a minion where
+	// tasks stand before another is opened: the old one may be dead without a sign, and
+	// the ends of tasks come on the next. An end not told for 8 s is lost.
+	quietMost  = 3_000_000
+	sweepNodes = 500_000
 	// strayMost bounds the connections to one minion.
 	strayMost = 4
 	// halfMost is how long half a message may wait for its rest. Minions write theirs
@@ -61,7 +66,27 @@
 }
 
 // Use names the core that is told of outcomes.
-func (n *Nodes) Use(c *core.Core) { n.core = c }
+func (n *Nodes) Use(c *core.Core) {
+	n.core = c
+	n.l.After(sweepNodes, n.sweep)
+}
+
+// sweep opens another connection where the one there is may be dead: an offer was
+// given up on it and nothing came since, or tasks stand there and nothing came for
+// long. Without offers nobody would notice, and ends of tasks would wait for ever.
+func (n *Nodes) sweep() {
+	held, now := n.core.Held(), n.l.Now()
+	for _, id := range slices.Sorted(maps.Keys(n.links)) {
+		k := n.links[id]
+		if len(k.conns) == 0 || len(k.conns) >= strayMost || !k.listed && held[id] == 0 {
+			continue
+		}
+		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && (nc.mute || held[id] > 0 && now-nc.readAt > quietMost) {
+			k.dial()
+		}
+	}
+	n.l.After(sweepNodes, n.sweep)
+}
 
 // later tells the core of an outcome in the next turn, not from within a call.
 func (n *Nodes) later(f func()) {
@@ -90,6 +115,7 @@
 	wait   int64       // before the next dial
 	redial *loop.Timer
 	broke  bool // a connection was reset; a refused one now proves the death
+	failed bool // a connection failed or fell silent, and none came up since
 }
 
 // nodeConn is one connection to a minion.
@@ -203,6 +229,7 @@
 		delete(nc.open, tag)
 		if s.end > 0 {
 			nc.mute = nc.mute || nc.readAt < s.at
+			k.failed = k.failed || nc.mute
 			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 		}
 	}
@@ -403,6 +430,10 @@
 func (nc *nodeConn) Opened(*loop.Conn) {
 	nc.readAt = nc.k.n.l.Now()
 	nc.k.wait, nc.k.broke = 0, false
+	if nc.k.failed {
+		nc.k.failed = false
+		nc.k.n.core.NodeReached(nc.readAt, nc.k.id)
+	}
 	for _, b := range nc.early {
 		nc.c.Write(b)
 	}
@@ -421,6 +452,7 @@
 		k.n.log.Warn("a connection to a minion ended", "node", k.id, "open", len(nc.open), "err", err)
 	}
 	nc.lost(err)
+	k.failed = k.failed || !errors.Is(err, loop.ErrEOF)
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		k.refused()
--- a/placer.go
+++ b/placer.go
@@ -71,6 +71,7 @@
 	suspectHalf = 6 * second
 	suspectHeal = 0.7
 	suspectTry  = 0.25
+	suspectMet  = 0.5 // what is left where a connection came up again
 	suspectOut  = 1.0
 	suspectMost = 6.0
 
@@ -750,6 +751,21 @@
 	}
 }
 
+// reached takes it that a machine is there after all: what failed was a connection,
+// with all that lay on it, so the machine is tried again, one attempt at a time. It
+// would harm where a machine takes connections and answers nothing: so it has to
+// accept something before that counts again.
+func (p *Placer) reached(e Reached) {
+	m := p.machines[e.Machine]
+	if m == nil || m.reachedAt > 0 && slices.Max(m.heard) <= m.reachedAt {
+		return
+	}
+	m.reachedAt, p.stirred = p.now, true
+	for class := range m.doubts {
+		m.doubts[class] = doubt{min(suspectMet, m.suspicion(p.now, class)), p.now}
+	}
+}
+
 // silent takes an attempt that got no answer. It counts against the machine, but
 // where that answered since the attempt went out, it is there: against the class
 // alone if it answered others only, and little if it answered the same, as then a
--- a/placer_test.go
+++ b/placer_test.go
@@ -436,6 +436,28 @@
 	}
 }
 
+// A machine that is there after a connection fell silent is tried again, but not for
+// ever where it takes connections and answers nothing.
+func TestReachedMachineIsTriedAgain(t *testing.T) {
+	b := newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, 30))
+	m := b.p.machines["a"]
+	m.hurt(b.now, 4*silenceHurt)
+	b.at(ms, Reached{Machine: "a"}, Reached{Machine: "unknown"})
+	if s := m.suspicion(b.now, 0); !b.p.healthy(m, 0) || b.p.healthy(m, 4) || s > suspectMet {
+		t.Errorf("suspicion %v after it was reached", s)
+	}
+	m.hurt(b.now, silenceHurt)
+	b.at(ms, Reached{Machine: "a"})
+	if b.p.healthy(m, 0) {
+		t.Error("it was taken back without an answer")
+	}
+	m.heal(b.now, 0)
+	b.at(ms, Reached{Machine: "a"})
+	if !b.p.healthy(m, 0) {
+		t.Error("it was not taken back after an answer")
+	}
+}
+
 func TestHealthAloneNeverTurnsTheFleetAway(t *testing.T) {
 	b := newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, 30))
 	for _, m := range []string{"a", "b"} {
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	running    []*task // own placed tasks, in order of placing
 	doubts     []doubt // suspicion, by class
 	heard      []int64 // when an attempt of a class was last accepted
+	reachedAt  int64   // when it was last told to be there after a failure
 	bendC      float64 // what it bears, over what its kind bears: cores
 	bendM      float64 // and memory
 	bendAt     int64
@@ -460,6 +461,8 @@
 		p.noted(e)
 	case Sampled:
 		p.sampled(e)
+	case Reached:
+		p.reached(e)
 	case ClientGone:
 		p.gone(p.tasks[e.Ticket])
 	case Bell:
