Hold gRPC to the bounds of the platform's front; one check of a set-up's figures for both

Found by reading: a connection that never spoke HTTP/2 held one of 64 places for two minutes, a stream that never opened its session for ever; headers could have 16 MB; a session could have any number of offers open, with any wait up to 49 days; gRPC took a task that asks for no cores or no memory, the platform's front does not (grpcfront.go, setup). What makes no sense in a set-up is now said once, in core.Setup.Fault, and both fronts ask it. The command channel's answers hold 2 MiB at most (8 before): more than memory has room for.

--- a/cmd/ravenhitch/main_test.go
+++ b/cmd/ravenhitch/main_test.go
@@ -338,6 +338,7 @@
 		{"a negative size", edit(offer(tag(7), "guide-web", "ok-5", 0), func(o *edgepb.Offer) { o.Cores = -1 }), codes.InvalidArgument},
 		{"bad service", edit(offer(tag(8), "guide-web", "ok-6", 0), func(o *edgepb.Offer) { o.Service = "x" }), codes.InvalidArgument},
 		{"long description", edit(offer(tag(9), "guide-web", "ok-7", 0), func(o *edgepb.Offer) { o.Description = string(long) }), codes.InvalidArgument},
+		{"an endless wait", edit(offer(tag(60), "guide-web", "ok-60", 0), func(o *edgepb.Offer) { o.WaitMs = 1<<32 - 1 }), codes.InvalidArgument},
 		{"never fits", edit(offer(tag(10), "guide-web", "ok-8", 0), func(o *edgepb.Offer) { o.Cores = 1000 }), codes.ResourceExhausted},
 		{"another task's id", offer(tag(1), "guide-web", "ok-9", 0), codes.AlreadyExists},
 	} {
@@ -617,3 +618,35 @@
 		t.Errorf("%d tasks stand", standing)
 	}
 }
+
+// Whoever connects or opens a stream and says nothing holds its place for a while
+// only, and a session may have so many offers open.
+func TestBoundsOfGRPC(t *testing.T) {
+	w := newWorld(t, "a")
+	c, err := net.Dial("tcp", w.gaddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	st, err := w.client(t).Session(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := io.Copy(io.Discard, c); err != nil {
+		t.Errorf("the silent connection was left open: %v", err)
+	}
+	if _, err := st.Recv(); status.Code(err) != codes.DeadlineExceeded {
+		t.Errorf("the silent stream ended with %v", err)
+	}
+	s := w.session(t, "many", 0)
+	for i := range 520 {
+		s.offer(t, offer(tag(i+1), "guide-web", fmt.Sprint("silent-", i), 60_000))
+	}
+	for range 8 {
+		r := wait(t, "a rejection", s.got).GetRejection()
+		if codes.Code(r.GetCode()) != codes.ResourceExhausted || r.GetRetryAfterMs() == 0 {
+			t.Errorf("got %v", r)
+		}
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"hash/fnv"
 	"log/slog"
 	"strconv"
+	"strings"
 
 	"ravenhitch"
 )
@@ -59,6 +60,36 @@
 	Resumes bool
 }
 
+// The bounds of what an owner may ask for. A longer wait than a day, or a figure of
+// a million million, is a slip or worse.
+const (
+	waitMost   = int64(86_400_000_000)
+	figureMost = 1e9
+	nameMost   = 64
+)
+
+// Fault names the first field of a set-up that makes no sense, and what was expected
+// of it; "" where there is none. Fronts ask before they submit: what no node could
+// use must reach none, as its error would speak against the node.
+func (s *Setup) Fault() (field, want string) {
+	fine := func(v float64) bool { return v > 0 && v < figureMost } // NaN is not
+	switch {
+	case len(s.Tag) != 16 || strings.Trim(s.Tag, "0123456789abcdefABCDEF") != "":
+		return "tag", "16 hex digits"
+	case s.Key == "" || len(s.Key) > nameMost:
+		return "task", "a name of 1 to 64 bytes"
+	case s.Class == "" || len(s.Class) > nameMost:
+		return "class", "a name of 1 to 64 bytes"
+	case !fine(s.Cores):
+		return "cores", "a number above 0"
+	case !fine(s.Mem):
+		return "memory", "a number above 0"
+	case s.At == "" && (s.WaitUs <= 0 || s.WaitUs > waitMost):
+		return "wait", "a time above 0, a day at most"
+	}
+	return "", ""
+}
+
 // The errors of Submit. Nothing was taken then, and no answer is owed.
 var (
 	ErrTag     = errors.New("core: the tag is in use")
--- a/internal/grpcfront/grpcfront.go
+++ b/internal/grpcfront/grpcfront.go
@@ -10,10 +10,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 	"unicode/utf8"
@@ -47,6 +45,15 @@
 	outMost      = 512
 	keptMost     = 512
 	sessionsMost = 1024
+	// openMost bounds the offers of a session that wait for an answer.
+	openMost = 512
+	// hushMost is how long a connection may take to speak HTTP/2, and a stream to open
+	// its session; idleMost how long a connection without a call is kept.
+	hushMost = 1500 * time.Millisecond
+	idleMost = 30 * time.Second
+	headMost = 16 << 10
+	// bufferSize is for each connection and direction: links are slow, memory is short.
+	bufferSize = 8 << 10
 	// sessionLife is how long a session without a stream is kept.
 	sessionLife = int64(2 * time.Minute / time.Microsecond)
 	nameMost    = 64
@@ -102,8 +109,11 @@
 	f.srv = grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(2*textMost),
+		grpc.MaxHeaderListSize(headMost),
 		grpc.MaxConcurrentStreams(streamsMost),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
+		grpc.ConnectionTimeout(hushMost),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleMost, Time: 20 * time.Second, Timeout: 5 * time.Second}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
 	)
 	edgepb.RegisterOrchestratorServer(f.srv, f)
@@ -175,27 +185,24 @@
 	return st.Err()
 }
 
-func isHex(s string) bool { return strings.Trim(s, "0123456789abcdefABCDEF") == "" }
+// fields are the core's names of what may be at fault, as the protocol has them.
+var fields = map[string]string{"tag": "offer_id", "task": "task", "class": "class", "cores": "cores",
+	"memory": "memory", "wait": "wait_ms"}
 
 // setup reads an offer. It runs outside the loop and asks nothing of the core.
 func setup(o *edgepb.Offer) (core.Setup, error) {
 	s := core.Setup{Tag: o.GetOfferId(), Class: o.GetClass(), Key: o.GetTask(), Cores: o.GetCores(), Mem: o.GetMemory(),
 		Description: o.GetDescription(), WaitUs: int64(o.GetWaitMs()) * 1000, Resumes: true}
-	fine := func(v float64) bool { return v >= 0 && v < 1e9 && !math.IsNaN(v) }
-	switch {
-	case len(s.Tag) != 16 || !isHex(s.Tag):
-		return s, bad("offer_id", "expected 16 hex digits")
-	case s.Key == "" || len(s.Key) > nameMost:
-		return s, bad("task", "expected 1 to 64 bytes")
-	case s.Class == "" || len(s.Class) > nameMost:
-		return s, bad("class", "expected 1 to 64 bytes")
-	case !fine(s.Cores) || s.Cores == 0 && s.Mem == 0:
-		return s, bad("cores", "expected a number of 0 or more, and cores or memory above 0")
-	case !fine(s.Mem):
-		return s, bad("memory", "expected a number of 0 or more")
-	case !utf8.ValidString(s.Description) || len(s.Description) > textMost || escaped(s.Description) > textMost*3/2:
+	if s.WaitUs == 0 {
+		s.WaitUs = 1 // the class's own figure, or the call's deadline, comes in its place
+	}
+	if field, want := s.Fault(); field != "" {
+		return s, bad(fields[field], "expected "+want)
+	}
+	if !utf8.ValidString(s.Description) || len(s.Description) > textMost || escaped(s.Description) > textMost*3/2 {
 		return s, bad("description", fmt.Sprintf("expected at most %d bytes of UTF-8, few of them control characters", textMost))
 	}
+	s.WaitUs = int64(o.GetWaitMs()) * 1000
 	if v := o.GetService(); v != "" {
 		n, err := strconv.ParseUint(v, 16, 64)
 		if err != nil {
@@ -498,9 +505,29 @@
 	})
 }
 
+// firstOf is the first message of a stream. One that never comes would hold a
+// stream, and its connection, for ever.
+func firstOf(g edgepb.Orchestrator_SessionServer) (*edgepb.ClientMessage, error) {
+	type message struct {
+		m   *edgepb.ClientMessage
+		err error
+	}
+	came := make(chan message, 1)
+	go func() {
+		m, err := g.Recv()
+		came <- message{m, err}
+	}()
+	select {
+	case first := <-came:
+		return first.m, first.err
+	case <-time.After(hushMost):
+		return nil, status.Error(codes.DeadlineExceeded, "the session was not opened in time")
+	}
+}
+
 // Session implements the RPC.
 func (f *Front) Session(g edgepb.Orchestrator_SessionServer) error {
-	first, err := g.Recv()
+	first, err := firstOf(g)
 	if err != nil {
 		return err
 	}
@@ -587,6 +614,10 @@
 				if task, ok := s.open[set.Tag]; ok && task == set.Key {
 					return // its answer is under way in this session
 				}
+				if len(s.open) >= openMost {
+					s.reject(set.Tag, set.Key, retry(codes.ResourceExhausted, "too many offers of the session are open", retryLeast))
+					return
+				}
 				s.open[set.Tag] = set.Key
 				if err = f.submit(s, set); err == nil {
 					return
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -59,10 +59,9 @@
 	// the turn of the usual owners, whose connections carry tasks that stand.
 	openMost   = 32
 	faultsMost = 64
-	// leftMost is the longest wait that makes sense, in milliseconds; keyMost the
-	// longest name of a task.
-	leftMost = 86_400_000
-	keyMost  = 64
+	// leftMost is what a longer wait, in milliseconds, is read as: it fits the core's
+	// clock and is still no wait that the core takes.
+	leftMost = 1e12
 )
 
 // NewFront returns a front that holds at most so many connections, each for
@@ -288,18 +287,12 @@
 	return nil
 }
 
-// setup reads what a set-up asks for. What lacks a figure, or has one that makes no
-// sense, is an error here: minions would answer it with errors of theirs, which say
-// nothing about them.
+// setup reads what a set-up asks for.
 func setup(m *Message) (core.Setup, error) {
 	s := core.Setup{Tag: m.Tag, Class: m.Opt("class"), Key: m.Opt("key"), Description: m.Blob}
 	bad := func(what string) (core.Setup, error) {
 		return s, fmt.Errorf("%w: a set-up without a usable %s", ErrMessage, what)
 	}
-	hex := func(v string) bool { return strings.Trim(v, "0123456789abcdefABCDEF") == "" }
-	if len(m.Tag) != 16 || !hex(m.Tag) {
-		return bad("tag")
-	}
 	for _, pair := range strings.Split(m.Opt("extras"), ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		var err error
@@ -317,20 +310,18 @@
 			return bad(name)
 		}
 	}
-	left, err := strconv.ParseFloat(m.Opt("left"), 64)
-	fine := func(v float64) bool { return v > 0 && v < 1e9 }
-	switch {
-	case s.At == "" && (err != nil || !(left > 0 && left <= leftMost)):
-		return bad("wait")
-	case !fine(s.Cores) || !fine(s.Mem):
-		return bad("figure for cores or memory")
-	case s.Key == "" || len(s.Key) > keyMost:
-		return bad("key")
-	case !m.HasBlob:
-		return bad("description")
-	}
 	if s.At == "" { // else no answer is waited for
-		s.WaitUs = int64(left * 1000)
+		left, err := strconv.ParseFloat(m.Opt("left"), 64)
+		if err != nil || left != left {
+			return bad("wait")
+		}
+		s.WaitUs = int64(min(max(left, 0), leftMost) * 1000)
+	}
+	if field, _ := s.Fault(); field != "" {
+		return bad(field)
+	}
+	if !m.HasBlob {
+		return bad("description")
 	}
 	return s, nil
 }
--- a/internal/platform/jsonl.go
+++ b/internal/platform/jsonl.go
@@ -445,7 +445,7 @@
 
 const (
 	headMost = 16 << 10
-	bodyMost = 8 << 20
+	bodyMost = 2 << 20
 )
 
 // parseResponse reads an HTTP/1.1 answer from the start of b. used is 0 where it
