Let connections without a task make room at once; end with nobody in the queue

Ruled out: an answer cut off by the end (no request was open) and the time of the last call.

Connections that never had a task now make room after 0.1 s, after the silent ones; the loop knows whether callers may wait (Queued), and the end waits for them.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -271,14 +271,15 @@
 	return err
 }
 
-// end keeps serving while requests still come, then ends once nothing is open,
-// and answers what is left before the kill comes.
+// end keeps serving while requests still come, then ends once nothing is open and
+// nobody waits to be let in, and answers what is left before the kill comes. Who
+// waits in the system's queue may have sent a request, which an end would lose.
 func (p *program) end(since int64) {
 	switch age := p.l.Now() - since; {
 	case age >= p.lastCall:
 		p.c.Quit(p.l.Now())
 		p.l.Stop()
-	case age >= stillComing && p.c.Open() == 0:
+	case age >= stillComing && p.c.Open() == 0 && !p.l.Queued():
 		p.l.Stop()
 	default:
 		p.l.After(10_000, func() { p.end(since) })
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -111,6 +111,36 @@
 	wait(t, "the second test", spoke.lines)
 }
 
+// Connections that asked once and stay make room at once; those that had a task do
+// after a while, and until then the program does not end with a caller in the queue.
+func TestCallersInTheQueue(t *testing.T) {
+	w := newWorldLimited(t, 64, "a")
+	for i := range 24 {
+		o := w.owner(t)
+		send(o, line{Verb: "ECHO", Tag: tag(i), Opts: map[string]string{}})
+		wait(t, "the test", o.lines)
+	}
+	var had []*owner
+	for i := range 24 {
+		began := time.Now()
+		o := w.owner(t)
+		send(o, setUp(tag(i+1), "guide-web", fmt.Sprint("ok-", i), 5000))
+		if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || time.Since(began) > 700*time.Millisecond {
+			t.Errorf("got %v after %s", l, time.Since(began))
+		}
+		had = append(had, o)
+	}
+	w.Stop()
+	late := w.owner(t)
+	send(late, setUp(tag(99), "guide-web", "ok-99", 5000))
+	if l := wait(t, "the answer of the one in the queue", late.lines); l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	for l := range had[0].lines { // closed
+		t.Errorf("the one quiet longest got %v", l)
+	}
+}
+
 // A malformed line ends its own connection only, with an answer for what was taken
 // before it, at once.
 func TestMalformedLines(t *testing.T) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -103,6 +103,7 @@
 	accept func() Handler
 	room   func() bool
 	off    bool
+	queued bool // callers may wait; false once none was found
 }
 
 // Loop is one epoll loop.
@@ -251,6 +252,7 @@
 }
 
 func (l *Loop) acceptAll(ln *listener) {
+	ln.queued = true
 	for range eventsMost {
 		if l.Free() <= 0 || !ln.room() {
 			l.mute(ln)
@@ -265,6 +267,7 @@
 			l.mute(ln)
 			return
 		default:
+			ln.queued = err != unix.EAGAIN
 			return
 		}
 		tune(fd)
@@ -281,6 +284,16 @@
 	}
 }
 
+// Queued reports whether callers may wait in the system's queue, for want of room.
+func (l *Loop) Queued() bool {
+	for _, ln := range l.listeners {
+		if ln.queued {
+			return true
+		}
+	}
+	return false
+}
+
 // mute leaves callers in the system's queue for a while: a listener that stays
 // ready while there is no room would keep the loop spinning.
 func (l *Loop) mute(ln *listener) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -45,7 +45,8 @@
 const (
 	// idleLeast is how long a connection must have been quiet to be closed for
 	// another: a set-up may be on its way on one that was just used. hushLeast is the
-	// same for one that never said anything: what connects to ask does so at once.
+	// same for one that never had a task: whoever connects for one asks at once, and
+	// what crosses the close within 50 ms is sent again.
 	idleLeast = 1_000_000
 	hushLeast = 100_000
 	// hushMost is how long a connection may take for its first message, and for the
@@ -82,8 +83,10 @@
 }
 
 // room makes room where the limit is reached: it closes a connection with nothing
-// open on it, first of all the one that has been silent longest since it came, else
-// the one quiet longest. Those that say nothing come by the hundred.
+// open on it, first of all one that never said anything, then one that never had a
+// task, then one that had; of each the one quiet longest. Those of the first two sorts
+// come by the hundred, and who waits for their places waits in the system's queue,
+// where no answer reaches it.
 func (f *Front) room() bool {
 	if len(f.conns) < f.most {
 		return true
@@ -94,7 +97,7 @@
 		if len(o.open) > 0 || now-o.usedAt < o.restLeast() {
 			continue
 		}
-		if best == nil || !o.spoke && best.spoke || o.spoke == best.spoke && o.usedAt < best.usedAt {
+		if best == nil || o.use() < best.use() || o.use() == best.use() && o.usedAt < best.usedAt {
 			best = o
 		}
 	}
@@ -156,9 +159,20 @@
 	faults int             // messages that can't be used
 }
 
+// use is what the connection was good for so far: nothing, a word, a task.
+func (o *owner) use() int {
+	switch {
+	case o.bound:
+		return 2
+	case o.spoke:
+		return 1
+	}
+	return 0
+}
+
 // restLeast is how long it must have been quiet to be closed for another.
 func (o *owner) restLeast() int64 {
-	if o.spoke {
+	if o.bound {
 		return idleLeast
 	}
 	return hushLeast
