Bound what connections leave unread by the memory limit

Found by reading: one connection could leave 1 MiB unread, 168 owners at 256 descriptors more than five times 32 MB (loop.go, outMost). All together now fit into a quarter of the memory, 64 KiB each at least. A test for the command channel that breaks off in an event, in its head, or with an answer that is no JSON: it held before, nothing tested it.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -38,6 +38,8 @@
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
+	// unreadLeast is what any connection may leave unread: some messages of full size.
+	unreadLeast = 64 << 10
 	// exportersWait is how long the last figures may take at the end.
 	exportersWait = 200 * time.Millisecond
 	// socketsDefault holds where the configuration names no limit.
@@ -134,6 +136,10 @@
 			p.l.Close()
 		}
 	}()
+	if cfg.MemoryMB > 0 {
+		// What all connections together leave unread fits into a quarter of the memory.
+		p.l.Unread(max(unreadLeast, int(cfg.MemoryMB<<20)/4/budget))
+	}
 	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, log)
 	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, log); err != nil {
 		return nil, err
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -27,7 +27,7 @@
 const (
 	readSize   = 64 << 10
 	readsATurn = 4       // reads of one connection before others have their turn
-	outMost    = 1 << 20 // unread by one connection, at most
+	outMost    = 1 << 20 // unread by one connection, unless Unread says less
 	keptMost   = 4 << 10 // room that an empty buffer keeps
 	eventsMost = 256
 )
@@ -118,6 +118,7 @@
 	now       int64
 	budget    int
 	held      int
+	outMost   int
 	buf       []byte
 	again     bool
 	stop      bool
@@ -138,7 +139,7 @@
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
 	l := &Loop{ep: ep, wake: wake, conns: map[int]*Conn{}, listeners: map[int]*listener{},
-		budget: budget, buf: make([]byte, readSize), began: time.Now()}
+		budget: budget, outMost: outMost, buf: make([]byte, readSize), began: time.Now()}
 	l.tick()
 	if err := l.watch(wake, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
 		unix.Close(ep)
@@ -159,6 +160,10 @@
 // Free is how many sockets may still be opened.
 func (l *Loop) Free() int { return l.budget - l.held }
 
+// Unread sets how many bytes one connection may leave unread, beyond what the system
+// holds, before it is cut off.
+func (l *Loop) Unread(most int) { l.outMost = most }
+
 // Again makes the loop take another turn without waiting.
 func (l *Loop) Again() { l.again = true }
 
@@ -445,7 +450,7 @@
 		switch err {
 		case nil, unix.EINTR:
 		case unix.EAGAIN:
-			if len(c.out) > outMost {
+			if len(c.out) > c.l.outMost {
 				return ErrOverflow
 			}
 			c.arm()
@@ -454,7 +459,7 @@
 			return fmt.Errorf("loop: write: %w", err)
 		}
 	}
-	if len(c.out) > outMost {
+	if len(c.out) > c.l.outMost {
 		return ErrOverflow
 	}
 	if len(c.out) == 0 && cap(c.out) > keptMost {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -94,6 +94,7 @@
 	var addr string
 	hs := make(chan *echo, 2)
 	on(func() {
+		l.Unread(64 << 10)
 		addr, _ = l.Listen("127.0.0.1:0", anywhere, func() Handler { h := newEcho(); hs <- h; return h })
 	})
 	deaf, err := net.Dial("tcp", addr)
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -222,6 +223,67 @@
 	<-done
 }
 
+// A command channel that breaks off in the middle of an event, or of the answer's
+// head, is asked again for the same event, which is applied once.
+func TestChannelBreaksOff(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, err := loop.New(10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := NewNodes(l, 1_000_000, slog.New(slog.DiscardHandler))
+	c, err := core.New(ravenhitch.Settings{FleetSize: 1, CoresMultiple: 1, MemoryMultiple: 1,
+		Classes: []ravenhitch.Class{{Name: "cut", Effect: ravenhitch.Unsafe, Kind: -1}},
+		Kinds:   []ravenhitch.Kind{{Name: "std", Cores: 1, Memory: 1}}}, 1, n, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Use(c)
+	ch := NewChannel(l, c, n, ln.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
+	ch.cursor = 6
+	ch.Start()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := l.Run(func(now int64) { n.Gather(); c.Turn(now) }); err != nil {
+			t.Error(err)
+		}
+		l.Close()
+	}()
+	body := `{"cursor":7,"cmds":[{"cursor":7,"nodes":{"complete":false,"members":[{"id":"s-1","host_port":"127.0.0.1:9",` +
+		`"locality":"h","flavor":"std","cell":1,"phase":"draining","size":1,"up_since_ms":0,"spare":[1,1]}]}}]}`
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for _, x := range []struct{ asked, answer string }{{"resume=6&", whole[:len(whole)-40]}, {"resume=6&", whole[:12]},
+		{"resume=6&", strings.Replace(whole, `"members"`, `"members`, 1)}, {"resume=6&", whole}, {"resume=7&", ""}} {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for r := bufio.NewReader(c); ; {
+			c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			line, err := r.ReadString('\n')
+			if err != nil || strings.HasPrefix(line, "GET") && !strings.Contains(line, x.asked) {
+				t.Fatalf("asked %q (%v), expected %s", line, err, x.asked)
+			}
+			if line == "\r\n" {
+				break
+			}
+		}
+		io.WriteString(c, x.answer)
+		c.Close()
+	}
+	l.Post(l.Stop)
+	<-done
+	if !c.Listed("s-1") {
+		t.Error("the event was not applied")
+	}
+}
+
 // A line of 16 KiB passes, a longer one is told before it is whole, and no
 // message grows on its way through.
 func TestLineLength(t *testing.T) {
