Keep the nearest gap for a held task of far higher rank

Held tasks are tried best first (placer.go, place), but a small task took each gap before it was large enough for a relay. Ruled out: the sockets (0.1 ms to the first attempt, none lost) and health (no time-out, one error).

While a task is held for lack of room, the machine nearest to having it is kept from tasks of less than two thirds of its rank, on half of the machines at most (keepFor).

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -296,7 +296,7 @@
 // faulty counts what can't be used, up to the end of the connection.
 func (o *owner) faulty() error {
 	if o.faults++; o.faults >= faultsMost && !o.bound {
-		return fmt.Errorf("%w: the %dth in a row that can't be used", ErrMessage, o.faults)
+		return fmt.Errorf("%w: the %dth that can't be used", ErrMessage, o.faults)
 	}
 	return nil
 }
--- a/placer.go
+++ b/placer.go
@@ -96,6 +96,8 @@
 	// than all of it is meant to go.
 	moveOver = 3.0
 
+	// keptOver is by how much a held task must outrank another to keep a machine from it.
+	keptOver = 1.5
 	// rttWeight is the weight of one answer in the mean time that answers take.
 	rttWeight = 1.0 / 16
 	// retryEvery is how often held tasks are looked at when nothing happens.
@@ -380,7 +382,7 @@
 	var fit, well []*machine
 	var good, bad int
 	for _, m := range p.order {
-		if !p.allowed(m, c, t) {
+		if !p.allowed(m, c, t) || t.rank*keptOver < p.kept[m] {
 			continue
 		}
 		ok, room := p.healthy(m, t.class) && !t.erredOn(m), p.fits(m, t)
@@ -582,6 +584,7 @@
 		program    uint64
 	}
 	stuck := map[shape]bool{}
+	clear(p.kept)
 	for _, t := range slices.Clone(p.waiting) {
 		if p.hopeless(t) {
 			p.finish(t)
@@ -592,6 +595,7 @@
 			s.program = t.Program
 		}
 		if stuck[s] && t.mayRun == nil {
+			p.keepFor(t)
 			continue
 		}
 		if m := p.choose(t); m != nil {
@@ -600,10 +604,37 @@
 			}
 		} else if t.mayRun == nil {
 			stuck[s] = true
+			p.keepFor(t)
 		}
 	}
 }
 
+// keepFor keeps the machine that is nearest to having room for a held task from
+// those of far lower rank. It guards against small tasks of little worth that take
+// every gap before it is large enough for one of more. It would harm where all held
+// tasks are of one worth: then nothing is kept from them, or where room never comes:
+// so half of the machines stay open to all.
+func (p *Placer) keepFor(t *task) {
+	if !p.s.HasView || len(p.kept)*2 >= len(p.order) {
+		return
+	}
+	var best *machine
+	least := math.Inf(1)
+	for _, m := range p.order {
+		if p.kept[m] > 0 || !p.allowed(m, &p.s.Classes[t.class], t) || !p.healthy(m, t.class) {
+			continue
+		}
+		c, b := p.load(m)
+		bc, bm := p.bears(m)
+		if v := max((c+t.Cores)/bc, (b+t.Mem)/bm); v < least {
+			best, least = m, v
+		}
+	}
+	if best != nil {
+		p.kept[best] = t.rank
+	}
+}
+
 func (p *Placer) send(t *task, m *machine) {
 	p.unhold(t)
 	a := &attempt{m: m, at: p.now, waits: true}
--- a/placer_test.go
+++ b/placer_test.go
@@ -749,6 +749,26 @@
 	}
 }
 
+// A held task of far higher rank keeps the machine nearest to having room for it
+// from smaller tasks of little worth; those go elsewhere, and come back after it.
+func TestGapsAreKeptForBetterTasks(t *testing.T) {
+	s := testSettings()
+	s.Classes[8].Kind = -1 // worth 3
+	tight := func(name string, spare float64) Entry { return small(name, 0, spare-16) }
+	b := newBed(t, s, 1, tight("a", 1.5), tight("b", 0.75), tight("c", 0.75))
+	if got := of[Place](b.at(ms, b.request("better", "large", 2, 2))); len(got) != 0 {
+		t.Fatalf("there was room: %v", got)
+	}
+	for i := range 2 {
+		for _, a := range of[Place](b.at(ms, b.request(fmt.Sprint(i), "safe", 0.5, 0.5))) {
+			if a.Machine == "a" {
+				t.Errorf("task %d took the gap", i)
+			}
+		}
+	}
+	b.placed(b.at(ms, List{Kind: ListDelta, Entries: []Entry{tight("a", 8)}}), "a")
+}
+
 func TestFullButWellMachinesAreWaitedFor(t *testing.T) {
 	b := newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, -16), small("c", 0, -16))
 	b.p.machines["a"].hurt(b.now, suspectMost)
--- a/state.go
+++ b/state.go
@@ -104,7 +104,8 @@
 	order    []*machine // by name
 	tasks    map[string]*task
 	waiting  []*task
-	stirred  bool // something happened that may let a held task go
+	kept     map[*machine]float64 // for held tasks of that rank, in this round
+	stirred  bool                 // something happened that may let a held task go
 	wakeAt   int64
 
 	lagErr     [lagSteps]float64
@@ -128,7 +129,7 @@
 	}
 	p := &Placer{
 		s: s, rng: rand.New(rand.NewPCG(seed, uint64(s.SelfIndex))), classes: map[string]int{},
-		tenants: map[string]int{}, machines: map[string]*machine{}, tasks: map[string]*task{},
+		tenants: map[string]int{}, machines: map[string]*machine{}, tasks: map[string]*task{}, kept: map[*machine]float64{},
 		lag: lagFirst * lagStep, born: -1, ownCores: make([]float64, len(s.Tenants)),
 	}
 	for i, c := range s.Classes {
