--- a/api.go
+++ b/api.go
@@ -96,6 +96,14 @@
 	MaxRetryAfterUs int64 // longest advice that owners honour
 }
 
+// Units is the size of a task in mean tasks, by the larger of cores and memory.
+func (s *Settings) Units(cores, mem float64) float64 {
+	if s.UnitCores <= 0 || s.UnitMemory <= 0 {
+		return 1
+	}
+	return max(cores/s.UnitCores, mem/s.UnitMemory)
+}
+
 // State is what the list says of a machine.
 type State int
 
@@ -183,7 +191,8 @@
 	Class      string
 	LastsUs    int64 // expected run time; meaningful if Hinted
 	Hinted     bool
-	Again      bool // it came again after a refusal, failure, move or loss
+	Again      bool  // it came again after a refusal, failure, move or loss
+	SinceUs    int64 // since when its owner stands in line; 0: since now
 	Tenant     string
 	Program    uint64
 }
@@ -232,7 +241,10 @@
 	}
 	// Reached says that a machine took a connection after one to it had failed or
 	// fallen silent.
-	Reached    struct{ Machine string }
+	Reached struct{ Machine string }
+	// Pressure says at what pace room comes while tasks wait for it, in units a second
+	// (see Settings.Units); 0 where that is not known, or nothing waits.
+	Pressure   struct{ Pace float64 }
 	Bell       struct{ Ref string }
 	ClientGone struct{ Ticket string }
 )
@@ -245,6 +257,7 @@
 func (Note) event()       {}
 func (Sampled) event()    {}
 func (Reached) event()    {}
+func (Pressure) event()   {}
 func (Bell) event()       {}
 func (ClientGone) event() {}
 
@@ -257,10 +270,8 @@
 		Ticket, Machine string
 		AbandonAtUs     int64
 	}
-	Deny struct {
-		Ticket    string
-		RetryInUs int64
-	}
+	// Deny refuses a task. When its owner is to come again is not the module's to say.
+	Deny    struct{ Ticket string }
 	Error   struct{ Ticket string }
 	Move    struct{ Ticket string }
 	AskLoad struct{ Machine string }
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -24,6 +24,7 @@
 	"ravenhitch/internal/loop"
 	"ravenhitch/internal/metrics"
 	"ravenhitch/internal/platform"
+	"ravenhitch/internal/storm"
 )
 
 const (
@@ -47,10 +48,15 @@
 )
 
 func main() {
-	edge := flag.String("edge", "deploy/edge.json", "file that says which further protocols are on")
+	path := flag.String("conf", "deploy/ravenhitch.conf", "the operators' file")
+	flag.Func("edge", "no longer read; see -conf", func(string) error {
+		fmt.Fprintln(os.Stderr, "ravenhitch: -edge is no longer read: what it named moved to deploy/ravenhitch.conf, see -conf")
+		os.Exit(1)
+		return nil
+	})
 	flag.Parse()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(*edge, log); err != nil {
+	if err := run(*path, log); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenhitch:", err)
 		os.Exit(1)
 	}
@@ -145,6 +151,13 @@
 		return nil, err
 	}
 	p.nodes.Use(p.c)
+	if edge.Storm.Constant > 0 {
+		p.c.Advise(core.Constant(edge.Storm.Constant))
+	} else {
+		s := core.StormSettings(cfg.Settings)
+		s.LeastUs, s.Callers = edge.Storm.Least.Microseconds(), edge.Storm.Callers
+		p.c.Advise(storm.New(s, cfg.Seed))
+	}
 	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
 	p.lastCall = lastCall(cfg.Settings)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
@@ -200,6 +213,7 @@
 		return metrics.Figure{Name: name, Value: float64(v), Counter: true}
 	}
 	gauge := func(name string, v int) metrics.Figure { return metrics.Figure{Name: name, Value: float64(v)} }
+	s := p.c.Storm()
 	return []metrics.Figure{
 		counter("requests", c.Requests), counter("started", c.Started), counter("refused", c.Refused),
 		counter("failed", c.Failed), counter("over", c.Over), counter("moved", c.Moved),
@@ -208,7 +222,8 @@
 		counter("offers_not_connected", c.ConnectFailed), counter("offers_reset", c.Reset),
 		counter("offers_held_back", c.Guarded), counter("samples_lost", e.Dropped()),
 		gauge("open", p.c.Open()), gauge("standing", p.c.Standing()), gauge("owners", p.front.Connections()),
-		gauge("sockets_free", p.l.Free()),
+		gauge("sockets_free", p.l.Free()), gauge("storm_state", int(s.State)), gauge("storm_kind", int(s.Kind)),
+		{Name: "storm_pace", Value: s.Pace}, {Name: "storm_held", Value: s.Held}, {Name: "storm_booked", Value: s.Booked},
 	}
 }
 
--- a/cmd/ravenhitch/main_test.go
+++ b/cmd/ravenhitch/main_test.go
@@ -31,6 +31,7 @@
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/grpcfront/edgepb"
+	"ravenhitch/internal/standin"
 )
 
 func (w *world) client(t *testing.T) edgepb.OrchestratorClient {
@@ -47,8 +48,6 @@
 		Description: "about " + task, WaitMs: waitMs}
 }
 
-func tag(n int) string { return fmt.Sprintf("%016x", n) }
-
 // session is a stand-in client with a stream.
 type session struct {
 	edgepb.Orchestrator_SessionClient
@@ -104,7 +103,7 @@
 	t.Helper()
 	done := make(chan struct{}, 1)
 	w.l.Post(func() { f(); done <- struct{}{} })
-	wait(t, "the loop", done)
+	standin.Wait(t, "the loop", done)
 }
 
 func (w *world) counts(t *testing.T) (c core.Counts) {
@@ -137,22 +136,22 @@
 		}
 		// Every bound task comes to its end, each with its own cause.
 		for i, rc := range []int{16, 41} {
-			w.minions[0].end(tag([]int{1, 3}[i]), rc)
+			w.minions[0].End(standin.Tag([]int{1, 3}[i]), rc)
 			outcomes = append(outcomes, next())
 		}
 		// One minion drains: what is offered from then on goes to the other only.
-		w.feed.add(false, w.minions[0].member("draining"))
-		w.feed.heard(t)
-		before := len(w.minions[0].starts)
+		w.feed.Add(false, w.minions[0].Member("draining"))
+		w.feed.Heard(t)
+		before := len(w.minions[0].Starts)
 		for i := range 10 {
 			outcomes = append(outcomes, place(100+i, "guide-web", fmt.Sprintf("ok-drain-%d", i)))
 		}
-		return outcomes, w.counts(t), []int{len(w.minions[0].starts) - before, len(w.minions[1].starts)}
+		return outcomes, w.counts(t), []int{len(w.minions[0].Starts) - before, len(w.minions[1].Starts)}
 	}
 	// The second minion comes with the drain, so that the first takes all before it.
 	prepare := func(t *testing.T) *world {
 		w := newWorld(t, "a")
-		w.minions = append(w.minions, newMinion(t, "b"))
+		w.minions = append(w.minions, standin.NewMinion(t, "b"))
 		return w
 	}
 	var outcomes [2][]string
@@ -163,20 +162,20 @@
 		o := w.owner(t)
 		outcomes[0], counts[0], drains[0] = play(t, w, func(n int, class, task string) string {
 			if n == 100 {
-				w.feed.add(false, w.minions[1].member("up"))
-				w.feed.heard(t)
+				w.feed.Add(false, w.minions[1].Member("up"))
+				w.feed.Heard(t)
 			}
-			send(o, setUp(tag(n), class, task, waitFor(task)))
-			l := wait(t, task, o.lines)
+			standin.Send(o, standin.SetUp(standin.Tag(n), class, task, waitFor(task)))
+			l := standin.Wait(t, task, o.Lines)
 			switch {
 			case l.Verb == "STARTED":
 				return "bound: " + *l.Blob
-			case l.rc() == 34:
+			case l.Cause() == 34:
 				return "refused"
 			}
 			return "failed"
 		}, func() string {
-			if l := wait(t, "an end", o.lines); l.rc() == 16 {
+			if l := standin.Wait(t, "an end", o.Lines); l.Cause() == 16 {
 				return l.Tag + " done"
 			} else {
 				return l.Tag + " lost"
@@ -188,11 +187,11 @@
 		s := w.session(t, "s", 0)
 		outcomes[1], counts[1], drains[1] = play(t, w, func(n int, class, task string) string {
 			if n == 100 {
-				w.feed.add(false, w.minions[1].member("up"))
-				w.feed.heard(t)
+				w.feed.Add(false, w.minions[1].Member("up"))
+				w.feed.Heard(t)
 			}
-			s.offer(t, offer(tag(n), class, task, uint32(waitFor(task))))
-			m := wait(t, task, s.got)
+			s.offer(t, offer(standin.Tag(n), class, task, uint32(waitFor(task))))
+			m := standin.Wait(t, task, s.got)
 			switch {
 			case m.GetBinding() != nil:
 				return "bound: " + m.GetBinding().GetDescription()
@@ -201,7 +200,7 @@
 			}
 			return "failed"
 		}, func() string {
-			if e := wait(t, "an end", s.got).GetEnded(); e.GetHow() == edgepb.Ended_HOW_DONE {
+			if e := standin.Wait(t, "an end", s.got).GetEnded(); e.GetHow() == edgepb.Ended_HOW_DONE {
 				return e.GetOfferId() + " done"
 			} else {
 				return e.GetOfferId() + " lost"
@@ -226,36 +225,36 @@
 func TestBindingUnread(t *testing.T) {
 	w := newWorld(t, "a")
 	first := w.session(t, "s", 0)
-	first.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
-	binding := wait(t, "the binding", first.got).GetBinding()
+	first.offer(t, offer(standin.Tag(1), "archive-cut", "ok-cut", 5000))
+	binding := standin.Wait(t, "the binding", first.got).GetBinding()
 	first.drop() // the client never looked at it
 	for range first.got {
 	}
 	again := w.session(t, "s", 0)
-	if got := wait(t, "the binding once more", again.got); got.GetBinding().GetDescription() != binding.GetDescription() {
+	if got := standin.Wait(t, "the binding once more", again.got); got.GetBinding().GetDescription() != binding.GetDescription() {
 		t.Errorf("after the resume came %v", got)
 	}
 	// A repeat of the offer, and a new offer of the same task, are bound to the same.
-	again.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
-	again.offer(t, offer(tag(2), "archive-cut", "ok-cut", 5000))
+	again.offer(t, offer(standin.Tag(1), "archive-cut", "ok-cut", 5000))
+	again.offer(t, offer(standin.Tag(2), "archive-cut", "ok-cut", 5000))
 	other := w.session(t, "another", 0)
-	other.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
+	other.offer(t, offer(standin.Tag(1), "archive-cut", "ok-cut", 5000))
 	for i, s := range []*session{again, again, other} {
-		if got := wait(t, "a repeat's answer", s.got).GetBinding(); got.GetDescription() != binding.GetDescription() ||
+		if got := standin.Wait(t, "a repeat's answer", s.got).GetBinding(); got.GetDescription() != binding.GetDescription() ||
 			got.GetNode() != "a" {
 			t.Errorf("repeat %d got %v", i, got)
 		}
 	}
-	w.minions[0].end(tag(1), 16)
-	if e := wait(t, "the end", other.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_DONE {
+	w.minions[0].End(standin.Tag(1), 16)
+	if e := standin.Wait(t, "the end", other.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_DONE {
 		t.Errorf("the end is %v", e)
 	}
 	// A repeat that comes after the end starts nothing either.
-	other.offer(t, offer(tag(1), "archive-cut", "ok-cut", 5000))
-	if r := wait(t, "the late repeat's answer", other.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
+	other.offer(t, offer(standin.Tag(1), "archive-cut", "ok-cut", 5000))
+	if r := standin.Wait(t, "the late repeat's answer", other.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
 		t.Errorf("the late repeat got %v", r)
 	}
-	if n := w.minions[0].counted("ok-cut"); n != 1 {
+	if n := w.minions[0].Counted("ok-cut"); n != 1 {
 		t.Errorf("the task was started %d times", n)
 	}
 }
@@ -264,13 +263,13 @@
 func TestAnswerWhileAway(t *testing.T) {
 	w := newWorld(t, "a")
 	first := w.session(t, "s", 0)
-	first.offer(t, offer(tag(1), "guide-web", "silent-x", 600))
-	wait(t, "the offer", w.minions[0].starts)
+	first.offer(t, offer(standin.Tag(1), "guide-web", "silent-x", 600))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
 	first.drop()
 	for range first.got {
 	}
 	again := w.session(t, "s", 0)
-	if r := wait(t, "the answer", again.got).GetRejection(); codes.Code(r.GetCode()) != codes.ResourceExhausted {
+	if r := standin.Wait(t, "the answer", again.got).GetRejection(); codes.Code(r.GetCode()) != codes.ResourceExhausted {
 		t.Errorf("the answer is %v", r)
 	}
 }
@@ -280,37 +279,37 @@
 func TestDrainUnderBothFronts(t *testing.T) {
 	w := newWorld(t, "a")
 	o, s := w.owner(t), w.session(t, "s", 0)
-	send(o, setUp(tag(1), "guide-web", "ok-j0", 5000))
-	s.offer(t, offer(tag(2), "guide-web", "ok-g0", 5000))
-	wait(t, "an answer", o.lines)
-	wait(t, "a binding", s.got)
-	b := newMinion(t, "b")
-	w.feed.add(false, b.member("up"), w.minions[0].member("draining"))
-	w.feed.heard(t)
-	before := len(w.minions[0].starts)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-j0", 5000))
+	s.offer(t, offer(standin.Tag(2), "guide-web", "ok-g0", 5000))
+	standin.Wait(t, "an answer", o.Lines)
+	standin.Wait(t, "a binding", s.got)
+	b := standin.NewMinion(t, "b")
+	w.feed.Add(false, b.Member("up"), w.minions[0].Member("draining"))
+	w.feed.Heard(t)
+	before := len(w.minions[0].Starts)
 	for i := range 8 {
-		send(o, setUp(tag(10+i), "guide-web", fmt.Sprintf("ok-j%d", i+1), 5000))
-		s.offer(t, offer(tag(30+i), "guide-web", fmt.Sprintf("ok-g%d", i+1), 5000))
+		standin.Send(o, standin.SetUp(standin.Tag(10+i), "guide-web", fmt.Sprintf("ok-j%d", i+1), 5000))
+		s.offer(t, offer(standin.Tag(30+i), "guide-web", fmt.Sprintf("ok-g%d", i+1), 5000))
 	}
-	w.minions[0].end(tag(1), 41)
-	w.minions[0].end(tag(2), 41)
+	w.minions[0].End(standin.Tag(1), 41)
+	w.minions[0].End(standin.Tag(2), 41)
 	started, ended := 0, 0
 	for started+ended < 9 {
-		if l := wait(t, "json lines", o.lines); l.Verb == "STARTED" {
+		if l := standin.Wait(t, "json lines", o.Lines); l.Verb == "STARTED" {
 			started++
-		} else if l.Tag == tag(1) && l.rc() == 41 {
+		} else if l.Tag == standin.Tag(1) && l.Cause() == 41 {
 			ended++
 		}
 	}
 	for started+ended < 18 {
-		if m := wait(t, "grpc", s.got); m.GetBinding().GetNode() == "b" {
+		if m := standin.Wait(t, "grpc", s.got); m.GetBinding().GetNode() == "b" {
 			started++
-		} else if m.GetEnded().GetOfferId() == tag(2) && m.GetEnded().GetHow() == edgepb.Ended_HOW_LOST {
+		} else if m.GetEnded().GetOfferId() == standin.Tag(2) && m.GetEnded().GetHow() == edgepb.Ended_HOW_LOST {
 			ended++
 		}
 	}
-	if started != 16 || ended != 2 || len(w.minions[0].starts) != before || len(b.starts) != 16 {
-		t.Errorf("%d bound, %d ended, %d offers to the draining minion", started, ended, len(w.minions[0].starts)-before)
+	if started != 16 || ended != 2 || len(w.minions[0].Starts) != before || len(b.Starts) != 16 {
+		t.Errorf("%d bound, %d ended, %d offers to the draining minion", started, ended, len(w.minions[0].Starts)-before)
 	}
 }
 
@@ -328,22 +327,22 @@
 		o    *edgepb.Offer
 		want codes.Code
 	}{
-		{"bound", offer(tag(1), "guide-web", "ok-1", 0), codes.OK},
-		{"refused", offer(tag(2), "guide-web", "full-1", 0), codes.ResourceExhausted},
-		{"failed", offer(tag(3), "archive-cut", "error-1", 0), codes.Unknown},
+		{"bound", offer(standin.Tag(1), "guide-web", "ok-1", 0), codes.OK},
+		{"refused", offer(standin.Tag(2), "guide-web", "full-1", 0), codes.ResourceExhausted},
+		{"failed", offer(standin.Tag(3), "archive-cut", "error-1", 0), codes.Unknown},
 		{"bad id", offer("12", "guide-web", "ok-2", 0), codes.InvalidArgument},
-		{"no task", offer(tag(4), "guide-web", "", 0), codes.InvalidArgument},
-		{"unknown class", offer(tag(5), "nightly", "ok-3", 0), codes.InvalidArgument},
-		{"no size", edit(offer(tag(6), "guide-web", "ok-4", 0), func(o *edgepb.Offer) { o.Cores, o.Memory = 0, 0 }), codes.InvalidArgument},
-		{"a negative size", edit(offer(tag(7), "guide-web", "ok-5", 0), func(o *edgepb.Offer) { o.Cores = -1 }), codes.InvalidArgument},
-		{"bad service", edit(offer(tag(8), "guide-web", "ok-6", 0), func(o *edgepb.Offer) { o.Service = "x" }), codes.InvalidArgument},
-		{"long description", edit(offer(tag(9), "guide-web", "ok-7", 0), func(o *edgepb.Offer) { o.Description = string(long) }), codes.InvalidArgument},
-		{"an endless wait", edit(offer(tag(60), "guide-web", "ok-60", 0), func(o *edgepb.Offer) { o.WaitMs = 1<<32 - 1 }), codes.InvalidArgument},
-		{"never fits", edit(offer(tag(10), "guide-web", "ok-8", 0), func(o *edgepb.Offer) { o.Cores = 1000 }), codes.ResourceExhausted},
-		{"another task's id", offer(tag(1), "guide-web", "ok-9", 0), codes.AlreadyExists},
+		{"no task", offer(standin.Tag(4), "guide-web", "", 0), codes.InvalidArgument},
+		{"unknown class", offer(standin.Tag(5), "nightly", "ok-3", 0), codes.InvalidArgument},
+		{"no size", edit(offer(standin.Tag(6), "guide-web", "ok-4", 0), func(o *edgepb.Offer) { o.Cores, o.Memory = 0, 0 }), codes.InvalidArgument},
+		{"a negative size", edit(offer(standin.Tag(7), "guide-web", "ok-5", 0), func(o *edgepb.Offer) { o.Cores = -1 }), codes.InvalidArgument},
+		{"bad service", edit(offer(standin.Tag(8), "guide-web", "ok-6", 0), func(o *edgepb.Offer) { o.Service = "x" }), codes.InvalidArgument},
+		{"long description", edit(offer(standin.Tag(9), "guide-web", "ok-7", 0), func(o *edgepb.Offer) { o.Description = string(long) }), codes.InvalidArgument},
+		{"an endless wait", edit(offer(standin.Tag(60), "guide-web", "ok-60", 0), func(o *edgepb.Offer) { o.WaitMs = 1<<32 - 1 }), codes.InvalidArgument},
+		{"never fits", edit(offer(standin.Tag(10), "guide-web", "ok-8", 0), func(o *edgepb.Offer) { o.Cores = 1000 }), codes.ResourceExhausted},
+		{"another task's id", offer(standin.Tag(1), "guide-web", "ok-9", 0), codes.AlreadyExists},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			ctx, cancel := context.WithTimeout(context.Background(), standin.Patience)
 			defer cancel()
 			_, err := c.Place(ctx, x.o)
 			if status.Code(err) != x.want {
@@ -366,49 +365,49 @@
 			}
 		})
 	}
-	if n := w.minions[0].counted("error-1"); n != 1 {
+	if n := w.minions[0].Counted("error-1"); n != 1 {
 		t.Errorf("a task that must not start twice was offered %d times after an error", n)
 	}
 	t.Run("deadline", func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		began := time.Now()
-		_, err := c.Place(ctx, offer(tag(20), "archive-cut", "silent-1", 0))
+		_, err := c.Place(ctx, offer(standin.Tag(20), "archive-cut", "silent-1", 0))
 		if code := status.Code(err); code != codes.Unknown && code != codes.DeadlineExceeded || time.Since(began) > 5*time.Second {
 			t.Errorf("got %v", err)
 		}
-		if l := wait(t, "the give-up", w.minions[0].ends); l.Tag != tag(20) || l.rc() != 16 {
+		if l := standin.Wait(t, "the give-up", w.minions[0].Ends); l.Tag != standin.Tag(20) || l.Cause() != 16 {
 			t.Errorf("the minion got %v", l)
 		}
 	})
 	t.Run("cancelled", func(t *testing.T) {
-		for len(w.minions[0].starts) > 0 {
-			<-w.minions[0].starts
+		for len(w.minions[0].Starts) > 0 {
+			<-w.minions[0].Starts
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		errs := make(chan error, 1)
 		go func() {
-			_, err := c.Place(ctx, offer(tag(21), "archive-cut", "silent-2", 0))
+			_, err := c.Place(ctx, offer(standin.Tag(21), "archive-cut", "silent-2", 0))
 			errs <- err
 		}()
-		for wait(t, "the offer", w.minions[0].starts).Tag != tag(21) {
+		for standin.Wait(t, "the offer", w.minions[0].Starts).Tag != standin.Tag(21) {
 		}
 		cancel()
-		if err := wait(t, "the call's end", errs); status.Code(err) != codes.Canceled {
+		if err := standin.Wait(t, "the call's end", errs); status.Code(err) != codes.Canceled {
 			t.Errorf("got %v", err)
 		}
-		if l := wait(t, "the give-up", w.minions[0].ends); l.Tag != tag(21) || l.rc() != 16 {
+		if l := standin.Wait(t, "the give-up", w.minions[0].Ends); l.Tag != standin.Tag(21) || l.Cause() != 16 {
 			t.Errorf("the minion got %v", l)
 		}
 	})
 	t.Run("release", func(t *testing.T) {
-		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(1)}); err != nil {
+		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: standin.Tag(1)}); err != nil {
 			t.Error(err)
 		}
-		if l := wait(t, "the release", w.minions[0].ends); l.Tag != tag(1) {
+		if l := standin.Wait(t, "the release", w.minions[0].Ends); l.Tag != standin.Tag(1) {
 			t.Errorf("the minion got %v", l)
 		}
-		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(99)}); status.Code(err) != codes.NotFound {
+		if _, err := c.Release(context.Background(), &edgepb.ReleaseRequest{OfferId: standin.Tag(99)}); status.Code(err) != codes.NotFound {
 			t.Errorf("got %v", err)
 		}
 	})
@@ -429,29 +428,29 @@
 	w := newWorld(t, "a")
 	s := w.session(t, "s", 0)
 	s.offer(t, offer("nonsense", "guide-web", "ok-0", 0))
-	if r := wait(t, "a bad offer's answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.InvalidArgument {
+	if r := standin.Wait(t, "a bad offer's answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.InvalidArgument {
 		t.Errorf("a bad offer got %v", r)
 	}
-	s.offer(t, offer(tag(1), "guide-web", "full-1", 0))
-	if r := wait(t, "a refusal", s.got).GetRejection(); r.GetRetryAfterMs() == 0 {
+	s.offer(t, offer(standin.Tag(1), "guide-web", "full-1", 0))
+	if r := standin.Wait(t, "a refusal", s.got).GetRejection(); r.GetRetryAfterMs() == 0 {
 		t.Errorf("a refusal without advice: %v", r)
 	}
-	s.offer(t, offer(tag(2), "guide-web", "silent-1", 5000))
-	s.release(t, tag(2))
-	if r := wait(t, "the withdrawal", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.Canceled {
+	s.offer(t, offer(standin.Tag(2), "guide-web", "silent-1", 5000))
+	s.release(t, standin.Tag(2))
+	if r := standin.Wait(t, "the withdrawal", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.Canceled {
 		t.Errorf("a withdrawn offer got %v", r)
 	}
-	s.offer(t, offer(tag(3), "guide-web", "ok-1", 0))
-	wait(t, "a binding", s.got)
-	s.release(t, tag(3))
-	if e := wait(t, "the end", s.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_RELEASED {
+	s.offer(t, offer(standin.Tag(3), "guide-web", "ok-1", 0))
+	standin.Wait(t, "a binding", s.got)
+	s.release(t, standin.Tag(3))
+	if e := standin.Wait(t, "the end", s.got).GetEnded(); e.GetHow() != edgepb.Ended_HOW_RELEASED {
 		t.Errorf("a released task ended with %v", e)
 	}
-	s.offer(t, offer(tag(4), "guide-web", "ok-2", 0))
+	s.offer(t, offer(standin.Tag(4), "guide-web", "ok-2", 0))
 	if err := s.CloseSend(); err != nil {
 		t.Fatal(err)
 	}
-	if m := wait(t, "the last answer", s.got); m.GetBinding() == nil || m.GetNumber() != 6 {
+	if m := standin.Wait(t, "the last answer", s.got); m.GetBinding() == nil || m.GetNumber() != 6 {
 		t.Errorf("the last answer is %v", m)
 	}
 	for range s.got {
@@ -466,19 +465,19 @@
 func TestStop(t *testing.T) {
 	w := newWorld(t, "a")
 	early := w.owner(t)
-	send(early, setUp(tag(1), "guide-web", "silent-1", 1200))
-	wait(t, "the offer", w.minions[0].starts)
+	standin.Send(early, standin.SetUp(standin.Tag(1), "guide-web", "silent-1", 1200))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
 	w.Stop()
 	w.on(t, func() {}) // the word was heard
 	late := w.owner(t)
-	send(late, setUp(tag(2), "guide-web", "ok-1", 5000))
-	if l := wait(t, "the late owner's answer", late.lines); l.Verb != "STARTED" {
+	standin.Send(late, standin.SetUp(standin.Tag(2), "guide-web", "ok-1", 5000))
+	if l := standin.Wait(t, "the late owner's answer", late.Lines); l.Verb != "STARTED" {
 		t.Errorf("the late owner got %v", l)
 	}
-	if l := wait(t, "the early owner's answer", early.lines); l.Verb != "FINISH" || l.Tag != tag(1) {
+	if l := standin.Wait(t, "the early owner's answer", early.Lines); l.Verb != "FINISH" || l.Tag != standin.Tag(1) {
 		t.Errorf("the early owner got %v", l)
 	}
-	if err := wait(t, "the end", w.over); err != nil {
+	if err := standin.Wait(t, "the end", w.over); err != nil {
 		t.Error(err)
 	}
 }
@@ -513,12 +512,12 @@
 	w := newWorldWith(t, config.Edge{Graphite: config.Metrics{Address: carbon.Addr().String(), Prefix: "edge", EveryMs: 100},
 		Collectd: config.Metrics{Address: path, Prefix: "edge", EveryMs: 100}}, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
 	for _, want := range []string{"edge.n1.started 1 ", "edge.n1.standing 1 ", `PUTVAL "n1/edge/derive-started" interval=0.1 `,
 		`PUTVAL "n1/edge/gauge-standing" interval=0.1 `} {
 		for {
-			line := wait(t, want, got)
+			line := standin.Wait(t, want, got)
 			if strings.HasPrefix(line, want) && (strings.HasPrefix(line, "edge") || strings.HasSuffix(line, ":1")) {
 				break
 			}
@@ -560,12 +559,12 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), standin.Patience)
 	defer cancel()
-	if b, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(tag(1), "guide-web", "ok-1", 0)); err != nil || b.GetNode() != "a" {
+	if b, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(standin.Tag(1), "guide-web", "ok-1", 0)); err != nil || b.GetNode() != "a" {
 		t.Errorf("over TLS: %v, %v", b, err)
 	}
-	if _, err := w.client(t).Place(ctx, offer(tag(2), "guide-web", "ok-2", 0)); status.Code(err) != codes.Unavailable {
+	if _, err := w.client(t).Place(ctx, offer(standin.Tag(2), "guide-web", "ok-2", 0)); status.Code(err) != codes.Unavailable {
 		t.Errorf("without TLS: %v", err)
 	}
 	health := func() healthpb.HealthCheckResponse_ServingStatus {
@@ -583,7 +582,7 @@
 	if h := health(); h != healthpb.HealthCheckResponse_NOT_SERVING {
 		t.Errorf("told to end: %v", h)
 	}
-	if _, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(tag(3), "guide-web", "ok-3", 0)); err != nil {
+	if _, err := edgepb.NewOrchestratorClient(conn).Place(ctx, offer(standin.Tag(3), "guide-web", "ok-3", 0)); err != nil {
 		t.Errorf("an offer while it ends: %v", err)
 	}
 }
@@ -592,29 +591,29 @@
 func TestFrontsApart(t *testing.T) {
 	w := newWorld(t, "a")
 	o, s := w.owner(t), w.session(t, "s", 0)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	s.offer(t, offer(tag(2), "guide-web", "ok-2", 5000))
-	wait(t, "an answer", o.lines)
-	wait(t, "a binding", s.got)
-	send(o, cause("FINISH", tag(2), 16))
-	if l := wait(t, "the word that it was heard", o.lines); l.Verb != "FINISHED" {
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	s.offer(t, offer(standin.Tag(2), "guide-web", "ok-2", 5000))
+	standin.Wait(t, "an answer", o.Lines)
+	standin.Wait(t, "a binding", s.got)
+	standin.Send(o, standin.Finish("FINISH", standin.Tag(2), 16))
+	if l := standin.Wait(t, "the word that it was heard", o.Lines); l.Verb != "FINISHED" {
 		t.Errorf("got %v", l)
 	}
-	if _, err := w.client(t).Release(context.Background(), &edgepb.ReleaseRequest{OfferId: tag(1)}); status.Code(err) != codes.NotFound {
+	if _, err := w.client(t).Release(context.Background(), &edgepb.ReleaseRequest{OfferId: standin.Tag(1)}); status.Code(err) != codes.NotFound {
 		t.Errorf("a release of the other front's task: %v", err)
 	}
-	send(o, setUp(tag(3), "guide-web", "ok-2", 5000))
-	if l := wait(t, "the answer", o.lines); l.Tag != tag(3) || l.rc() != 47 {
+	standin.Send(o, standin.SetUp(standin.Tag(3), "guide-web", "ok-2", 5000))
+	if l := standin.Wait(t, "the answer", o.Lines); l.Tag != standin.Tag(3) || l.Cause() != 47 {
 		t.Errorf("a set-up of the other front's task got %v", l)
 	}
-	for id, task := range map[string]string{tag(1): "ok-9", tag(4): "ok-1"} {
+	for id, task := range map[string]string{standin.Tag(1): "ok-9", standin.Tag(4): "ok-1"} {
 		s.offer(t, offer(id, "guide-web", task, 5000))
-		if r := wait(t, "the answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
+		if r := standin.Wait(t, "the answer", s.got).GetRejection(); codes.Code(r.GetCode()) != codes.AlreadyExists {
 			t.Errorf("an offer of the other front's task got %v", r)
 		}
 	}
 	var standing int
-	if w.on(t, func() { standing = w.c.Standing() }); standing != 2 || w.minions[0].counted("ok-1") != 1 {
+	if w.on(t, func() { standing = w.c.Standing() }); standing != 2 || w.minions[0].Counted("ok-1") != 1 {
 		t.Errorf("%d tasks stand", standing)
 	}
 }
@@ -632,7 +631,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.SetReadDeadline(time.Now().Add(patience))
+	c.SetReadDeadline(time.Now().Add(standin.Patience))
 	if _, err := io.Copy(io.Discard, c); err != nil {
 		t.Errorf("the silent connection was left open: %v", err)
 	}
@@ -641,10 +640,10 @@
 	}
 	s := w.session(t, "many", 0)
 	for i := range 520 {
-		s.offer(t, offer(tag(i+1), "guide-web", fmt.Sprint("silent-", i), 60_000))
+		s.offer(t, offer(standin.Tag(i+1), "guide-web", fmt.Sprint("silent-", i), 60_000))
 	}
 	for range 8 {
-		r := wait(t, "a rejection", s.got).GetRejection()
+		r := standin.Wait(t, "a rejection", s.got).GetRejection()
 		if codes.Code(r.GetCode()) != codes.ResourceExhausted || r.GetRetryAfterMs() == 0 {
 			t.Errorf("got %v", r)
 		}
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -4,10 +4,10 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"ravenhitch/internal/standin"
 	"strings"
 	"syscall"
 	"testing"
@@ -22,33 +22,33 @@
 	w := newWorld(t, "a")
 	first := w.owner(t)
 	for i, task := range []string{"ok-1", "ok-2"} {
-		send(first, setUp(tag(i+1), "guide-web", task, 5000))
-		if l := wait(t, task, first.lines); l.Verb != "STARTED" || *l.Blob != "a holds about "+task {
+		standin.Send(first, standin.SetUp(standin.Tag(i+1), "guide-web", task, 5000))
+		if l := standin.Wait(t, task, first.Lines); l.Verb != "STARTED" || *l.Blob != "a holds about "+task {
 			t.Fatalf("%s got %v", task, l)
 		}
 	}
 	second := w.owner(t)
-	send(second, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
-	if l := wait(t, "the test", second.lines); l.Verb != "ECHOED" || l.rc() != 1 || l.Tag != "t" {
+	standin.Send(second, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	if l := standin.Wait(t, "the test", second.Lines); l.Verb != "ECHOED" || l.Cause() != 1 || l.Tag != "t" {
 		t.Errorf("the test got %v", l)
 	}
 	first.Close()
 	w.until(t, "one owner", func() bool { return w.front.Connections() == 1 })
-	w.minions[0].end(tag(1), 16)
-	if l := wait(t, "the first end", second.lines); l.Tag != tag(1) || l.rc() != 16 {
+	w.minions[0].End(standin.Tag(1), 16)
+	if l := standin.Wait(t, "the first end", second.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
 		t.Errorf("got %v", l)
 	}
 	second.Close()
 	w.until(t, "no owner", func() bool { return w.front.Connections() == 0 })
-	w.minions[0].end(tag(2), 41)
+	w.minions[0].End(standin.Tag(2), 41)
 	w.until(t, "the end here", func() bool { return w.c.Standing() == 0 })
 	// One that only connects may be anybody: the end waits for one that speaks.
 	silent, third := w.owner(t), w.owner(t)
-	send(third, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
-	if l := wait(t, "the second end", third.lines); l.Tag != tag(2) || l.rc() != 41 {
+	standin.Send(third, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	if l := standin.Wait(t, "the second end", third.Lines); l.Tag != standin.Tag(2) || l.Cause() != 41 {
 		t.Errorf("got %v", l)
 	}
-	for l := range silent.lines { // closed after a while
+	for l := range silent.Lines { // closed after a while
 		t.Errorf("the silent one got %v", l)
 	}
 }
@@ -56,7 +56,7 @@
 // until runs f on the loop until it holds.
 func (w *world) until(t *testing.T, what string, f func() bool) {
 	t.Helper()
-	for limit := time.Now().Add(patience); ; {
+	for limit := time.Now().Add(standin.Patience); ; {
 		ok := false
 		w.on(t, func() { ok = f() })
 		if ok {
@@ -74,16 +74,16 @@
 func TestOwnersOverTheLimit(t *testing.T) {
 	w := newWorldLimited(t, 64, "a") // 32 descriptors aside, three quarters of the rest for owners
 	busy := w.owner(t)
-	send(busy, setUp(tag(1), "guide-web", "silent-1", 3000))
-	wait(t, "the offer", w.minions[0].starts)
+	standin.Send(busy, standin.SetUp(standin.Tag(1), "guide-web", "silent-1", 3000))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
 	spoke := w.owner(t)
-	send(spoke, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
-	wait(t, "the test", spoke.lines)
+	standin.Send(spoke, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	standin.Wait(t, "the test", spoke.Lines)
 	closed := make(chan bool, 22)
 	for range 22 {
 		idle := w.owner(t)
 		go func() {
-			for range idle.lines {
+			for range idle.Lines {
 			}
 			closed <- true
 		}()
@@ -91,24 +91,24 @@
 	w.until(t, "all are connected", func() bool { return w.front.Connections() == 24 })
 	late := w.owner(t)
 	began := time.Now()
-	send(late, setUp(tag(2), "guide-web", "ok-2", 6000))
-	if l := wait(t, "the late owner's answer", late.lines); l.Verb != "STARTED" {
+	standin.Send(late, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 6000))
+	if l := standin.Wait(t, "the late owner's answer", late.Lines); l.Verb != "STARTED" {
 		t.Errorf("got %v", l)
 	}
 	if d := time.Since(began); d > time.Second {
 		t.Errorf("the late owner waited %s", d)
 	}
 	for range 22 { // all of them, in time
-		wait(t, "the end of a silent connection", closed)
+		standin.Wait(t, "the end of a silent connection", closed)
 	}
 	if d := time.Since(began); d > 3*time.Second {
 		t.Errorf("the silent ones were closed after %s", d)
 	}
-	if l := wait(t, "the busy owner's answer", busy.lines); l.Tag != tag(1) {
+	if l := standin.Wait(t, "the busy owner's answer", busy.Lines); l.Tag != standin.Tag(1) {
 		t.Errorf("got %v", l)
 	}
-	send(spoke, line{Verb: "ECHO", Tag: "u", Opts: map[string]string{}})
-	wait(t, "the second test", spoke.lines)
+	standin.Send(spoke, standin.Line{Verb: "ECHO", Tag: "u", Opts: map[string]string{}})
+	standin.Wait(t, "the second test", spoke.Lines)
 }
 
 // Connections that asked once and stay make room at once; those that had a task do
@@ -117,26 +117,26 @@
 	w := newWorldLimited(t, 64, "a")
 	for i := range 24 {
 		o := w.owner(t)
-		send(o, line{Verb: "ECHO", Tag: tag(i), Opts: map[string]string{}})
-		wait(t, "the test", o.lines)
+		standin.Send(o, standin.Line{Verb: "ECHO", Tag: standin.Tag(i), Opts: map[string]string{}})
+		standin.Wait(t, "the test", o.Lines)
 	}
-	var had []*owner
+	var had []*standin.Owner
 	for i := range 24 {
 		began := time.Now()
 		o := w.owner(t)
-		send(o, setUp(tag(i+1), "guide-web", fmt.Sprint("ok-", i), 5000))
-		if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || time.Since(began) > 700*time.Millisecond {
+		standin.Send(o, standin.SetUp(standin.Tag(i+1), "guide-web", fmt.Sprint("ok-", i), 5000))
+		if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" || time.Since(began) > 700*time.Millisecond {
 			t.Errorf("got %v after %s", l, time.Since(began))
 		}
 		had = append(had, o)
 	}
 	w.Stop()
 	late := w.owner(t)
-	send(late, setUp(tag(99), "guide-web", "ok-99", 5000))
-	if l := wait(t, "the answer of the one in the queue", late.lines); l.Verb != "STARTED" {
+	standin.Send(late, standin.SetUp(standin.Tag(99), "guide-web", "ok-99", 5000))
+	if l := standin.Wait(t, "the answer of the one in the queue", late.Lines); l.Verb != "STARTED" {
 		t.Errorf("got %v", l)
 	}
-	for l := range had[0].lines { // closed
+	for l := range had[0].Lines { // closed
 		t.Errorf("the one quiet longest got %v", l)
 	}
 }
@@ -146,37 +146,37 @@
 func TestMalformedLines(t *testing.T) {
 	w := newWorld(t, "a")
 	bad, idle, good, half := w.owner(t), w.owner(t), w.owner(t), w.owner(t)
-	send(bad, setUp(tag(1), "guide-web", "silent-1", 60_000))
-	wait(t, "the offer", w.minions[0].starts)
+	standin.Send(bad, standin.SetUp(standin.Tag(1), "guide-web", "silent-1", 60_000))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
 	bad.Write([]byte("{\"verb\":\"START\"\n"))
 	idle.Write([]byte(strings.Repeat("x", 17<<10)))
 	half.Write([]byte("{\"verb\":"))
-	for l := range idle.lines {
+	for l := range idle.Lines {
 		t.Errorf("the idle owner got %v", l)
 	}
-	send(good, setUp(tag(2), "guide-web", "ok-2", 5000))
-	if l := wait(t, "another owner's answer", good.lines); l.Verb != "STARTED" {
+	standin.Send(good, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
+	if l := standin.Wait(t, "another owner's answer", good.Lines); l.Verb != "STARTED" {
 		t.Errorf("another owner got %v", l)
 	}
-	if l := wait(t, "the answer", bad.lines); l.Tag != tag(1) || l.Verb != "FINISH" {
+	if l := standin.Wait(t, "the answer", bad.Lines); l.Tag != standin.Tag(1) || l.Verb != "FINISH" {
 		t.Errorf("got %v", l)
 	}
-	for l := range bad.lines {
+	for l := range bad.Lines {
 		t.Errorf("got %v after the answer", l)
 	}
-	for l := range half.lines {
+	for l := range half.Lines {
 		t.Errorf("half a message got %v", l)
 	}
 	// One in pieces is whole.
 	o := w.owner(t)
-	b, err := json.Marshal(setUp(tag(4), "guide-web", "ok-4", 5000))
+	b, err := json.Marshal(standin.SetUp(standin.Tag(4), "guide-web", "ok-4", 5000))
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, c := range append(b, '\n') {
 		o.Write([]byte{c})
 	}
-	if l := wait(t, "the answer", o.lines); l.Tag != tag(4) || l.Verb != "STARTED" {
+	if l := standin.Wait(t, "the answer", o.Lines); l.Tag != standin.Tag(4) || l.Verb != "STARTED" {
 		t.Errorf("got %v", l)
 	}
 }
@@ -186,68 +186,68 @@
 func TestBadSetUps(t *testing.T) {
 	w := newWorld(t, "a")
 	o, other := w.owner(t), w.owner(t)
-	spoil := []func(l *line){
-		func(l *line) { l.Opts["class"] = "guide-web_x" }, func(l *line) { l.Opts["left"] = "-5" },
-		func(l *line) { l.Opts["left"] = "soon" }, func(l *line) { l.Opts["extras"] = "cores:nan;memory:1" },
-		func(l *line) { l.Opts["extras"] = "" }, func(l *line) { l.Blob = nil }, func(l *line) { l.Tag = "" },
-		func(l *line) { l.Verb = "BEGIN" }, func(l *line) { l.Opts["extras"] += ";at:nowhere"; l.Opts["class"] = "x" },
+	spoil := []func(l *standin.Line){
+		func(l *standin.Line) { l.Opts["class"] = "guide-web_x" }, func(l *standin.Line) { l.Opts["left"] = "-5" },
+		func(l *standin.Line) { l.Opts["left"] = "soon" }, func(l *standin.Line) { l.Opts["extras"] = "cores:nan;memory:1" },
+		func(l *standin.Line) { l.Opts["extras"] = "" }, func(l *standin.Line) { l.Blob = nil }, func(l *standin.Line) { l.Tag = "" },
+		func(l *standin.Line) { l.Verb = "BEGIN" }, func(l *standin.Line) { l.Opts["extras"] += ";at:nowhere"; l.Opts["class"] = "x" },
 	}
 	for i, f := range spoil {
-		l := setUp(tag(10+i), "guide-web", "ok-bad", 5000)
+		l := standin.SetUp(standin.Tag(10+i), "guide-web", "ok-bad", 5000)
 		f(&l)
-		send(o, l)
-		if got := wait(t, "an error", o.lines); got.Verb != "FINISH" || got.rc() != 47 || got.Tag != l.Tag {
+		standin.Send(o, l)
+		if got := standin.Wait(t, "an error", o.Lines); got.Verb != "FINISH" || got.Cause() != 47 || got.Tag != l.Tag {
 			t.Errorf("%d: got %v", i, got)
 		}
 	}
-	if n := w.minions[0].counted("ok-bad"); n != 0 {
+	if n := w.minions[0].Counted("ok-bad"); n != 0 {
 		t.Errorf("%d reached a minion", n)
 	}
 	// A tag that is open elsewhere, with another description: the first is not touched,
 	// nor can it be given up from elsewhere.
-	send(o, setUp(tag(1), "guide-web", "silent-1", 300))
-	wait(t, "the offer", w.minions[0].starts)
-	send(other, setUp(tag(1), "guide-web", "ok-other", 5000))
-	if l := wait(t, "the error", other.lines); l.rc() != 47 || l.Tag != tag(1) {
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "silent-1", 300))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
+	standin.Send(other, standin.SetUp(standin.Tag(1), "guide-web", "ok-other", 5000))
+	if l := standin.Wait(t, "the error", other.Lines); l.Cause() != 47 || l.Tag != standin.Tag(1) {
 		t.Errorf("got %v", l)
 	}
-	send(other, cause("FINISH", tag(1), 16))
-	wait(t, "the word on the release", other.lines)
-	if l := wait(t, "the first one's own answer", o.lines); l.rc() != 34 || l.Tag != tag(1) {
+	standin.Send(other, standin.Finish("FINISH", standin.Tag(1), 16))
+	standin.Wait(t, "the word on the release", other.Lines)
+	if l := standin.Wait(t, "the first one's own answer", o.Lines); l.Cause() != 34 || l.Tag != standin.Tag(1) {
 		t.Errorf("got %v", l)
 	}
 	// Two under one number on one connection: one answer, and it is no yes.
-	two := setUp(tag(2), "guide-web", "silent-2", 5000)
-	send(o, two)
-	wait(t, "the offer", w.minions[0].starts)
-	send(o, two)
-	if l := wait(t, "one answer for both", o.lines); l.Verb != "FINISH" || l.Tag != tag(2) {
+	two := standin.SetUp(standin.Tag(2), "guide-web", "silent-2", 5000)
+	standin.Send(o, two)
+	standin.Wait(t, "the offer", w.minions[0].Starts)
+	standin.Send(o, two)
+	if l := standin.Wait(t, "one answer for both", o.Lines); l.Verb != "FINISH" || l.Tag != standin.Tag(2) {
 		t.Errorf("got %v", l)
 	}
 	// A task said to stand where no minion is known ends in time.
 	began := time.Now()
-	l := setUp(tag(3), "guide-web", "ok-3", 5000)
+	l := standin.SetUp(standin.Tag(3), "guide-web", "ok-3", 5000)
 	l.Opts["extras"] += ";at:nowhere"
-	send(o, l)
-	if l := wait(t, "its end", o.lines); l.Verb != "FINISH" || l.Tag != tag(3) || time.Since(began) > 3*time.Second {
+	standin.Send(o, l)
+	if l := standin.Wait(t, "its end", o.Lines); l.Verb != "FINISH" || l.Tag != standin.Tag(3) || time.Since(began) > 3*time.Second {
 		t.Errorf("got %v after %s", l, time.Since(began))
 	}
 	// More than a new connection may have open is refused at once; enough of what
 	// can't be used ends it.
 	crowd := w.owner(t)
 	for i := range 40 {
-		send(crowd, setUp(tag(100+i), "guide-web", fmt.Sprint("silent-c", i), 60_000))
+		standin.Send(crowd, standin.SetUp(standin.Tag(100+i), "guide-web", fmt.Sprint("silent-c", i), 60_000))
 	}
 	for range 8 {
-		if l := wait(t, "a refusal", crowd.lines); l.rc() != 34 || l.Opts["wait"] == "" {
+		if l := standin.Wait(t, "a refusal", crowd.Lines); l.Cause() != 34 || l.Opts["wait"] == "" {
 			t.Errorf("got %v", l)
 		}
 	}
 	for range 70 {
-		send(crowd, line{Verb: "START", Tag: "x", Opts: map[string]string{}})
+		standin.Send(crowd, standin.Line{Verb: "START", Tag: "x", Opts: map[string]string{}})
 	}
 	n := 0
-	for l := range crowd.lines {
+	for l := range crowd.Lines {
 		if n++; l.Verb != "FINISH" {
 			t.Errorf("got %v", l)
 		}
@@ -261,19 +261,19 @@
 // start twice goes elsewhere.
 func TestRefusedConnection(t *testing.T) {
 	w := newWorld(t)
-	dead, alive := newMinion(t, "dead"), newMinion(t, "alive")
-	dead.ln.Close()
-	w.feed.add(true, dead.member("up"), alive.member("up"))
-	w.feed.heard(t)
+	dead, alive := standin.NewMinion(t, "dead"), standin.NewMinion(t, "alive")
+	dead.Deaf()
+	w.feed.Add(true, dead.Member("up"), alive.Member("up"))
+	w.feed.Heard(t)
 	o := w.owner(t)
 	for i := range 8 {
 		task := fmt.Sprint("ok-", i)
-		send(o, setUp(tag(i), "archive-cut", task, 5000))
-		if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || *l.Blob != "alive holds about "+task {
+		standin.Send(o, standin.SetUp(standin.Tag(i), "archive-cut", task, 5000))
+		if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" || *l.Blob != "alive holds about "+task {
 			t.Errorf("got %v", l)
 		}
-		if alive.counted(task) != 1 {
-			t.Errorf("%s was started %d times", task, alive.counted(task))
+		if alive.Counted(task) != 1 {
+			t.Errorf("%s was started %d times", task, alive.Counted(task))
 		}
 	}
 	if n := w.counts(t).ConnectFailed; n == 0 {
@@ -287,16 +287,13 @@
 func TestSilentConnection(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
-	send(o, setUp(tag(2), "guide-web", "silent-1", 5000))
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
+	standin.Send(o, standin.SetUp(standin.Tag(2), "guide-web", "silent-1", 5000))
 	for _, what := range []string{"ok-1", "the first attempt", "the second attempt"} {
-		wait(t, what, w.minions[0].starts)
+		standin.Wait(t, what, w.minions[0].Starts)
 	}
-	w.minions[0].mu.Lock()
-	dials := w.minions[0].dials
-	w.minions[0].mu.Unlock()
-	if dials < 2 {
+	if dials, _ := w.minions[0].Dials(); dials < 2 {
 		t.Errorf("%d connections", dials)
 	}
 }
@@ -306,18 +303,12 @@
 func TestQuietConnection(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
 	m := w.minions[0]
-	m.mu.Lock()
-	dials := m.dials
-	clear(m.conns) // the minion has forgotten them
-	for m.dials == dials {
-		m.came.Wait()
-	}
-	m.mu.Unlock()
-	m.end(tag(1), 16)
-	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+	m.Forget()
+	m.End(standin.Tag(1), 16)
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
 		t.Errorf("got %v", l)
 	}
 }
@@ -327,11 +318,11 @@
 func TestResetAfterOffer(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "archive-cut", "reset-1", 5000))
-	if l := wait(t, "the answer", o.lines); l.rc() == 34 || l.Verb != "FINISH" {
+	standin.Send(o, standin.SetUp(standin.Tag(1), "archive-cut", "reset-1", 5000))
+	if l := standin.Wait(t, "the answer", o.Lines); l.Cause() == 34 || l.Verb != "FINISH" {
 		t.Errorf("got %v", l)
 	}
-	if n := w.minions[0].counted("reset-1"); n != 1 {
+	if n := w.minions[0].Counted("reset-1"); n != 1 {
 		t.Errorf("offered %d times", n)
 	}
 }
@@ -342,36 +333,36 @@
 func TestSpoiltAnswers(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
 	for i, kind := range []string{"half", "bare"} {
 		at := 10 * (i + 1)
-		send(o, setUp(tag(at), "guide-web", kind+"-web", 5000))
-		if l := wait(t, kind, o.lines); l.Verb != "STARTED" || l.Tag != tag(at) || *l.Blob != "about "+kind+"-web" {
+		standin.Send(o, standin.SetUp(standin.Tag(at), "guide-web", kind+"-web", 5000))
+		if l := standin.Wait(t, kind, o.Lines); l.Verb != "STARTED" || l.Tag != standin.Tag(at) || *l.Blob != "about "+kind+"-web" {
 			t.Errorf("%s: got %v", kind, l)
 		}
 		// Others on the connection, and one that must not start twice, are not left to
 		// their deadline.
 		began := time.Now()
-		send(o, setUp(tag(at+1), "archive-cut", "silent-"+kind, 10_000))
-		send(o, setUp(tag(at+2), "archive-cut", kind+"-cut", 10_000))
+		standin.Send(o, standin.SetUp(standin.Tag(at+1), "archive-cut", "silent-"+kind, 10_000))
+		standin.Send(o, standin.SetUp(standin.Tag(at+2), "archive-cut", kind+"-cut", 10_000))
 		for range 2 {
-			if l := wait(t, "a failure", o.lines); l.Verb != "FINISH" || l.rc() == 34 {
+			if l := standin.Wait(t, "a failure", o.Lines); l.Verb != "FINISH" || l.Cause() == 34 {
 				t.Errorf("%s: got %v", kind, l)
 			}
 		}
 		if d := time.Since(began); d > 3*time.Second {
 			t.Errorf("%s: settled after %s", kind, d)
 		}
-		if n := w.minions[0].counted(kind+"-cut") + w.minions[0].counted("silent-"+kind); n != 2 {
+		if n := w.minions[0].Counted(kind+"-cut") + w.minions[0].Counted("silent-"+kind); n != 2 {
 			t.Errorf("%s: started %d times", kind, n)
 		}
 	}
-	send(o, setUp(tag(2), "guide-web", "twice-1", 5000))
-	send(o, line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
-	verbs := wait(t, "one word", o.lines).Verb + wait(t, "another", o.lines).Verb
-	send(o, setUp(tag(3), "guide-web", "ok-3", 5000))
-	if l := wait(t, "the next task's answer", o.lines); l.Tag != tag(3) || len(verbs) != len("STARTEDECHOED") {
+	standin.Send(o, standin.SetUp(standin.Tag(2), "guide-web", "twice-1", 5000))
+	standin.Send(o, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	verbs := standin.Wait(t, "one word", o.Lines).Verb + standin.Wait(t, "another", o.Lines).Verb
+	standin.Send(o, standin.SetUp(standin.Tag(3), "guide-web", "ok-3", 5000))
+	if l := standin.Wait(t, "the next task's answer", o.Lines); l.Tag != standin.Tag(3) || len(verbs) != len("STARTEDECHOED") {
 		t.Errorf("got %v after %s", l, verbs)
 	}
 }
@@ -381,17 +372,11 @@
 func TestDeadMinion(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
 	m := w.minions[0]
-	m.ln.Close()
-	m.mu.Lock()
-	for c := range m.conns {
-		c.(*net.TCPConn).SetLinger(0)
-		c.Close()
-	}
-	m.mu.Unlock()
-	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 41 {
+	m.Die()
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 41 {
 		t.Errorf("got %v", l)
 	}
 }
@@ -400,18 +385,18 @@
 func TestReusedAddress(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
 	m := w.minions[0]
-	successor := strings.Replace(m.member("up"), `"a"`, `"b"`, 1)
-	w.feed.add(false, m.member("removed"), successor)
-	w.feed.heard(t)
-	send(o, setUp(tag(2), "guide-web", "ok-2", 5000))
-	if l := wait(t, "the answer", o.lines); l.Tag != tag(2) || l.Verb != "STARTED" {
+	successor := strings.Replace(m.Member("up"), `"a"`, `"b"`, 1)
+	w.feed.Add(false, m.Member("removed"), successor)
+	w.feed.Heard(t)
+	standin.Send(o, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
+	if l := standin.Wait(t, "the answer", o.Lines); l.Tag != standin.Tag(2) || l.Verb != "STARTED" {
 		t.Errorf("got %v", l)
 	}
 	// What stood at the departed one ends without a word from it.
-	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 41 {
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 41 {
 		t.Errorf("got %v", l)
 	}
 	var standing int
@@ -426,20 +411,20 @@
 	w := newWorld(t, "a")
 	o := w.owner(t)
 	for i := range 2 {
-		l := setUp(tag(i+1), "guide-web", "ok-1", 5000)
+		l := standin.SetUp(standin.Tag(i+1), "guide-web", "ok-1", 5000)
 		l.Opts["extras"] += ";at:a"
-		send(o, l)
+		standin.Send(o, l)
 	}
 	w.until(t, "both stand", func() bool { return w.c.Standing() == 2 })
-	w.minions[0].end(tag(1), 16)
-	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+	w.minions[0].End(standin.Tag(1), 16)
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
 		t.Errorf("got %v", l)
 	}
-	send(o, cause("FINISH", tag(2), 16))
-	if l := wait(t, "the release", w.minions[0].ends); l.Tag != tag(2) {
+	standin.Send(o, standin.Finish("FINISH", standin.Tag(2), 16))
+	if l := standin.Wait(t, "the release", w.minions[0].Ends); l.Tag != standin.Tag(2) {
 		t.Errorf("the minion got %v", l)
 	}
-	if len(w.minions[0].starts) != 0 {
+	if len(w.minions[0].Starts) != 0 {
 		t.Error("a task that runs was offered")
 	}
 }
@@ -450,13 +435,13 @@
 func TestReload(t *testing.T) {
 	w := newWorld(t, "a")
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "ok-1", 5000))
-	wait(t, "the answer", o.lines)
-	w.feed.heard(t)
-	next := newFeed(t)
-	next.events = append(next.events, w.feed.events...)
-	b := newMinion(t, "b")
-	next.add(false, w.minions[0].member("draining"), b.member("up"))
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	standin.Wait(t, "the answer", o.Lines)
+	w.feed.Heard(t)
+	next := standin.NewFeed(t)
+	next.Take(w.feed)
+	b := standin.NewMinion(t, "b")
+	next.Add(false, w.minions[0].Member("draining"), b.Member("up"))
 	path := filepath.Join(t.TempDir(), "config.json")
 	for _, text := range []string{"{", configText(next)} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -464,21 +449,21 @@
 		}
 		w.Reload(path)
 	}
-	if n := wait(t, "the new channel is asked", next.asked); n != 1 {
+	if n := standin.Wait(t, "the new channel is asked", next.Asked); n != 1 {
 		t.Errorf("asked for what follows %d", n)
 	}
-	next.heard(t)
-	w.feed.srv.CloseClientConnections()
-	send(o, setUp(tag(2), "guide-web", "ok-2", 5000))
-	if l := wait(t, "the answer", o.lines); l.Verb != "STARTED" || *l.Blob != "b holds about ok-2" {
+	next.Heard(t)
+	w.feed.Srv.CloseClientConnections()
+	standin.Send(o, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
+	if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" || *l.Blob != "b holds about ok-2" {
 		t.Errorf("got %v", l)
 	}
-	w.minions[0].end(tag(1), 16)
-	if l := wait(t, "the end", o.lines); l.Tag != tag(1) || l.rc() != 16 {
+	w.minions[0].End(standin.Tag(1), 16)
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
 		t.Errorf("got %v", l)
 	}
-	next.add(false, b.member("draining"))
-	next.heard(t)
+	next.Add(false, b.Member("draining"))
+	next.Heard(t)
 }
 
 // What is open at SIGTERM is answered before the kill comes, which hangs on the
@@ -492,7 +477,7 @@
 	}
 }
 
-// The program itself: a configuration that cannot be used ends it with one line,
+// The program itself: a configuration that cannot be used ends it with one standin.Line,
 // SIGTERM with exit code 0 after what is open is answered.
 func TestProgram(t *testing.T) {
 	bin := filepath.Join(t.TempDir(), "ravenhitch")
@@ -515,8 +500,8 @@
 			t.Errorf("%q: %v, %q", text, err, out)
 		}
 	}
-	f, m := newFeed(t), newMinion(t, "a")
-	f.add(true, m.member("up"))
+	f, m := standin.NewFeed(t), standin.NewMinion(t, "a")
+	f.Add(true, m.Member("up"))
 	cmd := command(configText(f))
 	log, err := cmd.StderrPipe()
 	if err != nil {
@@ -532,21 +517,21 @@
 			lines <- r.Text()
 		}
 	}()
-	_, addr, _ := strings.Cut(wait(t, "the first line", lines), "listen=")
+	_, addr, _ := strings.Cut(standin.Wait(t, "the first line", lines), "listen=")
 	w := &world{program: &program{addr: strings.Fields(addr)[0]}}
 	o := w.owner(t)
-	send(o, setUp(tag(1), "guide-web", "silent-1", 1500))
-	wait(t, "the offer", m.starts)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "silent-1", 1500))
+	standin.Wait(t, "the offer", m.Starts)
 	if err := os.WriteFile(path, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	cmd.Process.Signal(syscall.SIGHUP) // a file that can't be used: one line, and it goes on
 	for l := ""; !strings.Contains(l, "was not taken"); {
-		l = wait(t, "the line about the file", lines)
+		l = standin.Wait(t, "the line about the file", lines)
 	}
 	began := time.Now()
 	cmd.Process.Signal(syscall.SIGTERM)
-	if l := wait(t, "the answer", o.lines); l.Verb != "FINISH" || l.Tag != tag(1) || l.Opts["wait"] != "1000" {
+	if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "FINISH" || l.Tag != standin.Tag(1) || l.Opts["wait"] != "1000" {
 		t.Errorf("got %v", l)
 	}
 	if err := cmd.Wait(); err != nil || time.Since(began) > 3700*time.Millisecond {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"errors"
-	"os"
 	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tidwall/gjson"
 
@@ -109,30 +109,49 @@
 	}
 }
 
+// What the file in the repository sets is the default, and the further protocols
+// are off; each error is one line that names the place and what was expected.
 func TestEdge(t *testing.T) {
-	// The file in the repository leaves everything off.
-	e, err := LoadEdge(filepath.Join("..", "..", "deploy", "edge.json"))
-	if err != nil || e.GRPCListen != "" || e.Graphite.Address != "" || e.Collectd.Address != "" {
-		t.Errorf("deploy/edge.json: %+v, %v", e, err)
-	}
-	if e, err := LoadEdge(filepath.Join(t.TempDir(), "none.json")); err != nil || e != (Edge{}) {
-		t.Errorf("no file: %+v, %v", e, err)
+	standard := Edge{Graphite: Metrics{Prefix: "ravenhitch", EveryMs: 10_000}, Collectd: Metrics{Prefix: "ravenhitch", EveryMs: 10_000}}
+	for _, path := range []string{filepath.Join("..", "..", "deploy", "ravenhitch.conf"), filepath.Join(t.TempDir(), "none.conf")} {
+		if e, err := LoadEdge(path); err != nil || e != standard {
+			t.Errorf("%s: %+v, %v", path, e, err)
+		}
 	}
-	e, err = ParseEdge([]byte(`{"grpc":{"listen":"127.0.0.1:7000"},"graphite":{"address":"127.0.0.1:2003","prefix":"a.b"},
-		"collectd":{"address":"/run/c.sock","every_ms":500}}`))
+	e, err := ParseEdge("x", []byte("[grpc]\nlisten 127.0.0.1:7000 # here\n\n[graphite]\r\n address 127.0.0.1:2003\r\n\tprefix \"a.b\"\n"+
+		"[collectd]\naddress /run/c.sock\nevery 500ms\n[storm]\nadvice 1s\nleast 20ms\ncallers 2048"))
 	if err != nil || e.GRPCListen != "127.0.0.1:7000" || e.Graphite.Prefix != "a.b" || e.Graphite.EveryMs != 10_000 ||
-		e.Collectd.Prefix != "ravenhitch" || e.Collectd.EveryMs != 500 {
+		e.Collectd.Prefix != "ravenhitch" || e.Collectd.EveryMs != 500 ||
+		e.Storm != (Storm{Constant: time.Second, Least: 20 * time.Millisecond, Callers: 2048}) {
 		t.Errorf("got %+v, %v", e, err)
 	}
-	for _, bad := range []string{`{`, `[]`, `{"grcp":{}}`, `{"grpc":{"port":1}}`, `{"grpc":{"listen":"here"}}`, `{"grpc":{"cert":"a"}}`,
-		`{"graphite":{"address":"x"}}`, `{"graphite":{"every_ms":1}}`, `{"graphite":{"prefix":"a b"}}`,
-		`{"collectd":{"address":"c.sock"}}`, `{"collectd":{"adress":"/c.sock"}}`} {
-		path := filepath.Join(t.TempDir(), "edge.json")
-		if err := os.WriteFile(path, []byte(bad), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if _, err := LoadEdge(path); !errors.Is(err, ErrConfig) || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: got %v", bad, err)
+	for _, x := range []struct{ text, want string }{
+		{"listen 127.0.0.1:1", "x:1:1: expected a section"},
+		{"[grcp]", "x:1:2: expected a section of collectd, graphite, grpc, storm"},
+		{"[grpc]\nport 1", "x:2:1: expected in [grpc] one of cert, key, listen"},
+		{"[grpc]\nlisten here", "x:2:8: expected address:port"},
+		{"[grpc]\nlisten", "x:2:1: expected listen followed by address:port"},
+		{"[grpc]\nlisten 127.0.0.1:1 127.0.0.1:2", "x:2:20: expected nothing after address:port"},
+		{"[grpc]\nlisten 127.0.0.1:1\nlisten 127.0.0.1:1", "x:3:1: expected each directive once; it stands in line 2"},
+		{"[grpc]\ncert a", "expected both cert and key"},
+		{"[graphite]\naddress x", "x:2:9: expected address:port"},
+		{"[graphite]\nevery 1ms", "x:2:7: expected a time with its unit, 100ms to 1h0m0s"},
+		{"[graphite]\nprefix \"a b\"", "x:2:8: expected a name"},
+		{"[collectd]\naddress c.sock", "x:2:9: expected the absolute path"},
+		{"[storm]\nadvice soon", "x:2:8: expected a time"},
+		{"[storm]\ncallers 3", "x:2:9: expected a whole number, 1024 to"},
+		{"[storm]\n[storm]", "x:2:1: expected each section once"},
+		{"[storm]\nleast \"1s", "x:2:7: expected a closing quote"},
+		{"[storm] x", "x:1:9: expected nothing after a section's name"},
+		{"[storm", "x:1:1: expected a section as [name]"},
+		{"[storm]\n\xff", "x:2:1: expected UTF-8"},
+	} {
+		if _, err := ParseEdge("x", []byte(x.text)); !errors.Is(err, ErrConfig) || strings.Contains(err.Error(), "\n") ||
+			!strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q: got %v", x.text, err)
 		}
 	}
+	if _, err := LoadEdge("deploy/edge.json"); !errors.Is(err, ErrConfig) || !strings.Contains(err.Error(), "deploy/ravenhitch.conf") {
+		t.Errorf("edge.json: %v", err)
+	}
 }
--- /dev/null
+++ b/internal/config/operators.go
@@ -0,0 +1,161 @@
+package config
+
+// This file owns what the operators' file may say. A directive that is not known is
+// an error: a misspelt one would silently leave its part off.
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"ravenhitch/internal/conf"
+)
+
+// Edge is what the operators' file says of the further protocols, each of which is
+// off where its address is empty, and of crowds.
+type Edge struct {
+	GRPCListen        string
+	GRPCCert, GRPCKey string // files of a certificate and its key, or ""
+	Graphite          Metrics
+	Collectd          Metrics
+	Storm             Storm
+}
+
+// Metrics says where figures go, and how often.
+type Metrics struct {
+	Address string
+	Prefix  string
+	EveryMs int64
+}
+
+// Storm says what advice goes with refusals.
+type Storm struct {
+	Constant time.Duration // the same for all; 0: a booked time
+	Least    time.Duration // no advice is shorter
+	Callers  int           // remembered at most; 0: as many as fit a small machine
+}
+
+// LoadEdge reads the operators' file. Where there is none, everything is as it is
+// without a word on it.
+func LoadEdge(path string) (Edge, error) {
+	if strings.HasSuffix(path, ".json") {
+		return Edge{}, fmt.Errorf("%w: %s: the operators' file is line-based now, see deploy/ravenhitch.conf", ErrConfig, path)
+	}
+	b, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return ParseEdge(path, nil)
+	}
+	if err != nil {
+		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	return ParseEdge(path, b)
+}
+
+// directives are the sections and what each directive in them sets.
+type directives map[string]map[string]func(d conf.Directive) error
+
+// ParseEdge reads the text of an operators' file.
+func ParseEdge(file string, b []byte) (Edge, error) {
+	var e Edge
+	e.Graphite, e.Collectd = Metrics{Prefix: "ravenhitch", EveryMs: 10_000}, Metrics{Prefix: "ravenhitch", EveryMs: 10_000}
+	word := func(v *string, want string, fine func(string) bool) func(conf.Directive) error {
+		return func(d conf.Directive) (err error) {
+			if *v, err = d.Word(want); err == nil && !fine(*v) {
+				err = d.Args[0].Wrong(want)
+			}
+			return err
+		}
+	}
+	address := func(v string) bool { _, err := netip.ParseAddrPort(v); return err == nil }
+	absolute := func(v string) bool { return strings.HasPrefix(v, "/") }
+	filled := func(v string) bool { return v != "" }
+	duration := func(v *time.Duration, least, most time.Duration) func(conf.Directive) error {
+		return func(d conf.Directive) (err error) {
+			*v, err = d.Duration(least, most)
+			return err
+		}
+	}
+	metrics := func(m *Metrics, want string, fine func(string) bool) map[string]func(conf.Directive) error {
+		return map[string]func(conf.Directive) error{
+			"address": word(&m.Address, want, fine),
+			"prefix": word(&m.Prefix, "a name without spaces, slashes or quotes", func(v string) bool {
+				return v != "" && !strings.ContainsAny(v, " \t/\"")
+			}),
+			"every": func(d conf.Directive) error {
+				v, err := d.Duration(100*time.Millisecond, time.Hour)
+				m.EveryMs = v.Milliseconds()
+				return err
+			},
+		}
+	}
+	sections, err := conf.Parse(file, b)
+	if err != nil {
+		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	err = read(sections, directives{
+		"grpc": {
+			"listen": word(&e.GRPCListen, "address:port", address),
+			"cert":   word(&e.GRPCCert, "the file of a certificate", filled),
+			"key":    word(&e.GRPCKey, "the file of its key", filled),
+		},
+		"graphite": metrics(&e.Graphite, "address:port", address),
+		"collectd": metrics(&e.Collectd, "the absolute path of a Unix socket", absolute),
+		"storm": {
+			"advice": func(d conf.Directive) error {
+				if len(d.Args) > 0 && d.Args[0].Text == "booked" {
+					_, err := d.OneOf("booked")
+					return err
+				}
+				return duration(&e.Storm.Constant, time.Millisecond, time.Hour)(d)
+			},
+			"least": duration(&e.Storm.Least, 0, time.Minute),
+			"callers": func(d conf.Directive) error {
+				n, err := d.Int(1024, 16<<20)
+				e.Storm.Callers = int(n)
+				return err
+			},
+		},
+	})
+	if err == nil && (e.GRPCCert == "") != (e.GRPCKey == "") {
+		err = fmt.Errorf("%s: [grpc]: expected both cert and key, or neither", file)
+	}
+	if err != nil {
+		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	return e, nil
+}
+
+// names lists what is known.
+func names[V any](m map[string]V) string {
+	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
+}
+
+// read hands each directive to what takes it, each at most once.
+func read(sections []conf.Section, known directives) error {
+	for _, s := range sections {
+		takes := known[s.Name.Text]
+		if takes == nil {
+			return s.Name.Wrong("a section of " + names(known))
+		}
+		seen := map[string]int{}
+		for _, d := range s.Directives {
+			take := takes[d.Name.Text]
+			if take == nil {
+				return d.Name.Wrong("in [" + s.Name.Text + "] one of " + names(takes))
+			}
+			if line := seen[d.Name.Text]; line > 0 {
+				return d.Name.Wrong(fmt.Sprintf("each directive once; it stands in line %d", line))
+			}
+			seen[d.Name.Text] = d.Name.Line
+			if err := take(d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/advice.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"time"
+
+	"ravenhitch"
+	"ravenhitch/internal/storm"
+)
+
+// This file joins the table with the advice on refusals: it tells what was asked,
+// started and refused, and takes what comes back to whom it concerns. It decides
+// neither what to refuse nor when an owner is to come again.
+
+// Advisor says when refused owners are to come again. Its word on a refusal never
+// delays that.
+type Advisor interface {
+	// Asked takes a set-up and says since when its owner stands in line.
+	Asked(now int64, c storm.Caller) (since int64)
+	// Held sets how many units of each class wait for room.
+	Held(now int64, units []float64)
+	Started(now int64, c storm.Caller)
+	Adopted(now int64, c storm.Caller)
+	Left(now int64, c storm.Caller)
+	// Refused is how long the owner is to stay away.
+	Refused(now int64, c storm.Caller) (waitUs int64)
+	// Pace is at what pace room comes, in units a second, 0 where nothing tells.
+	Pace(now int64) float64
+	Tick(now int64) (storm.Change, bool)
+	Figures(now int64) storm.Figures
+}
+
+// StormSettings are the settings of the advice that follow from those of the
+// platform.
+func StormSettings(s ravenhitch.Settings) storm.Settings {
+	out := storm.Settings{LongestUs: s.MaxRetryAfterUs}
+	for _, c := range s.Classes {
+		out.Classes = append(out.Classes, storm.Class{Name: c.Name, Rank: c.Worth})
+	}
+	return out
+}
+
+const (
+	// pressEvery is how often the module is told of the pace of room, and pressStep by
+	// what share that must have changed.
+	pressEvery = 100_000
+	pressStep  = 0.05
+)
+
+// pressure is what the module was last told.
+type pressure struct {
+	at   int64
+	pace float64
+}
+
+// Advise sets who advises; before the first set-up.
+func (c *Core) Advise(a Advisor) { c.advisor = a }
+
+// Storm is what is worth watching of crowds.
+func (c *Core) Storm() storm.Figures { return c.advisor.Figures(c.now) }
+
+// caller is a request as the advisor sees it.
+func (r *request) caller() storm.Caller {
+	return storm.Caller{Key: r.number, Service: r.Service, Class: r.class, Units: r.units, WaitUs: r.WaitUs}
+}
+
+// to changes the state of a request, and keeps count of what waits for room.
+func (c *Core) to(r *request, s state) {
+	if r.state == s {
+		return
+	}
+	if r.state == waiting {
+		c.held[r.class] -= r.units
+		c.waits--
+	}
+	if s == waiting {
+		c.held[r.class] += r.units
+		c.waits++
+	}
+	if c.waits == 0 {
+		clear(c.held) // no rounding errors are left behind
+	}
+	r.state = s
+}
+
+// press tells the advisor what waits, and the module at what pace room comes.
+func (c *Core) press() {
+	c.advisor.Held(c.now, c.held)
+	if ch, ok := c.advisor.Tick(c.now); ok {
+		c.log.Info("storm", "state", ch.To, "was", ch.From, "kind", ch.Kind, "why", ch.Why)
+	}
+	if c.now-c.pressed.at < pressEvery {
+		return
+	}
+	pace := c.advisor.Pace(c.now)
+	c.pressed.at = c.now
+	if d := pace - c.pressed.pace; d < 0 && -d <= pressStep*c.pressed.pace || d >= 0 && d <= pressStep*c.pressed.pace {
+		return
+	}
+	c.pressed.pace = pace
+	c.event(ravenhitch.Pressure{Pace: pace})
+}
+
+// Constant advises everybody alike: the advice of old, kept to measure against.
+type Constant time.Duration
+
+// The methods of Constant implement Advisor; it learns nothing.
+func (a Constant) Asked(now int64, _ storm.Caller) int64 { return now }
+func (Constant) Held(int64, []float64)                   {}
+func (Constant) Started(int64, storm.Caller)             {}
+func (Constant) Adopted(int64, storm.Caller)             {}
+func (Constant) Left(int64, storm.Caller)                {}
+func (a Constant) Refused(int64, storm.Caller) int64     { return time.Duration(a).Microseconds() }
+func (Constant) Pace(int64) float64                      { return 0 }
+func (Constant) Tick(int64) (ch storm.Change, ok bool)   { return ch, false }
+func (Constant) Figures(int64) (f storm.Figures)         { return f }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,7 @@
 	"strings"
 
 	"ravenhitch"
+	"ravenhitch/internal/storm"
 )
 
 const (
@@ -40,9 +41,6 @@
 	toldMost = 60_000_000
 	// drainMargin is how long before the drain limit offers end here.
 	drainMargin = 500_000
-	// ownAdvice is how long owners are told to stay away by refusals that are the
-	// core's own: at the deadline and at the end of the program.
-	ownAdvice = 1_000_000
 	// pastMost bounds the final words kept for set-ups that may be repeated.
 	pastMost = 4096
 )
@@ -161,7 +159,8 @@
 type state int
 
 const (
-	waiting  state = iota // no attempt is out
+	fresh    state = iota // not in the table yet
+	waiting               // no attempt is out
 	out                   // an attempt is out
 	standing              // the node has said yes
 	leaving               // released or moved; the node's word is awaited
@@ -173,6 +172,9 @@
 	Setup
 	owner    Owner
 	state    state
+	number   uint64 // of its task
+	class    int    // in the settings, the last where it is not there
+	units    float64
 	deadline int64
 	effect   ravenhitch.Effect
 	attempts int
@@ -215,6 +217,11 @@
 	listed  map[string]bool
 	channel bool // the list is followed
 	observe bool // the module waits for the list
+	advisor Advisor
+	classes map[string]int
+	held    []float64 // units that wait for room, by class
+	waits   int       // requests that do
+	pressed pressure
 	sweepAt int64
 	counts  Counts
 }
@@ -227,9 +234,11 @@
 	}
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
-		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{}}
-	for _, k := range s.Classes {
+		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
+		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes))}
+	for i, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
+		c.classes[k.Name] = i
 	}
 	return c, nil
 }
@@ -294,16 +303,22 @@
 	if !ok {
 		effect = ravenhitch.Unsafe
 	}
-	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1, reply: s.Tag}
+	r := &request{Setup: s, owner: o, effect: effect, deadline: now + s.WaitUs - headroom, index: -1, reply: s.Tag,
+		number: number(s.Key), units: c.set.Units(s.Cores, s.Mem), class: len(c.set.Classes) - 1}
+	if i, ok := c.classes[s.Class]; ok {
+		r.class = i
+	}
 	c.reqs[s.Tag] = r
 	if s.Key != "" {
 		c.keys[s.Key] = r
 	}
-	task := ravenhitch.Task{Ticket: s.Tag, Workload: number(s.Key), DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
+	task := ravenhitch.Task{Ticket: s.Tag, Workload: r.number, DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
 		Class: s.Class, Program: s.Service}
 	if s.At != "" {
 		c.counts.Opened++
-		r.state, r.node, r.mayRun = standing, s.At, true
+		r.node, r.mayRun = s.At, true
+		c.to(r, standing)
+		c.advisor.Adopted(now, r.caller())
 		if !c.listed[s.At] {
 			r.lostAt = now - (orphanAfter - openAfter)
 		}
@@ -311,6 +326,8 @@
 		return nil
 	}
 	c.counts.Requests++
+	c.to(r, waiting)
+	task.SinceUs = c.advisor.Asked(now, r.caller())
 	c.event(ravenhitch.Request{Task: task})
 	c.arm(r, r.deadline)
 	return nil
@@ -434,7 +451,7 @@
 	}
 	c.event(ravenhitch.ClientGone{Ticket: r.Tag})
 	r.mayRun = r.mayRun || r.state == out
-	c.finish(r, ownAdvice)
+	c.finish(r)
 }
 
 // Withdraw takes an owner's word that it no longer wants a task, whether that
@@ -450,6 +467,7 @@
 	case waiting, out:
 		c.counts.Withdrawn++
 		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
+		c.advisor.Left(now, r.caller())
 		c.remember(r, Answer{Kind: Withdrew})
 		c.withdraw(r)
 		c.forget(r)
@@ -458,7 +476,7 @@
 		c.counts.Withdrawn++
 		c.remember(r, Answer{Kind: Withdrew})
 		c.nodes.Release(r.node, r.Tag)
-		r.state = leaving
+		c.to(r, leaving)
 		c.arm(r, now+cutWait)
 		return WasStanding
 	}
@@ -475,8 +493,10 @@
 	if r == nil || r.state != out || r.node != node {
 		return
 	}
-	r.state, r.mayRun = standing, true
+	r.mayRun = true
+	c.to(r, standing)
 	c.counts.Started++
+	c.advisor.Started(now, r.caller())
 	c.disarm(r)
 	c.event(ravenhitch.Accepted{Ticket: tag, Attempt: r.copy, Machine: node, RTTUs: now - r.sentAt})
 	if r.Resumes {
@@ -524,7 +544,7 @@
 		c.counts.Reset++
 		r.mayRun = true
 	}
-	r.state = waiting
+	c.to(r, waiting)
 	c.done(r, st, why, false)
 	c.arm(r, r.deadline)
 }
@@ -653,14 +673,14 @@
 		c.observe = false
 		c.event(ravenhitch.List{Kind: ravenhitch.ListDelta})
 	}
-	if len(c.events) == 0 {
-		return
-	}
-	events := c.events
-	c.events = nil
-	for _, a := range c.placer.Handle(now, events) {
-		c.act(a)
+	if len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		for _, a := range c.placer.Handle(now, events) {
+			c.act(a)
+		}
 	}
+	c.press()
 }
 
 // expire acts on a time that has come.
@@ -678,7 +698,7 @@
 	case waiting:
 		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
 		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
-		c.finish(r, ownAdvice)
+		c.finish(r)
 	case leaving:
 		c.nodes.Release(r.node, r.Tag)
 		c.over(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
@@ -722,7 +742,7 @@
 		}
 	case ravenhitch.Deny:
 		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
-			c.finish(r, a.RetryInUs)
+			c.finish(r)
 		}
 	case ravenhitch.Error:
 		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
@@ -734,7 +754,7 @@
 			c.counts.Moved++
 			c.answer(r, Answer{Kind: Moved})
 			c.nodes.Release(r.node, r.Tag)
-			r.state = leaving
+			c.to(r, leaving)
 			c.arm(r, c.now+cutWait)
 		}
 	case ravenhitch.Cancel:
@@ -779,7 +799,8 @@
 		return
 	}
 	c.counts.Offers++
-	r.state, r.node, r.sentAt, r.copy = out, a.Machine, c.now, r.attempts
+	c.to(r, out)
+	r.node, r.sentAt, r.copy = a.Machine, c.now, r.attempts
 	r.attempts++
 	r.abandon = r.deadline
 	if a.AbandonAtUs > 0 {
@@ -792,14 +813,14 @@
 
 // finish answers a request that was given up: refused where a retry is
 // harmless, else failed.
-func (c *Core) finish(r *request, retry int64) {
+func (c *Core) finish(r *request) {
 	if r.mayRun && r.effect != ravenhitch.Safe {
 		c.fail(r)
 		return
 	}
 	c.withdraw(r)
 	c.counts.Refused++
-	c.answer(r, Answer{Kind: Refused, WaitUs: retry})
+	c.answer(r, Answer{Kind: Refused, WaitUs: c.advisor.Refused(c.now, r.caller())})
 	c.forget(r)
 }
 
@@ -821,7 +842,7 @@
 // forget is the one place where a request leaves the table.
 func (c *Core) forget(r *request) {
 	c.disarm(r)
-	r.state = gone
+	c.to(r, gone)
 	if c.reqs[r.Tag] == r {
 		delete(c.reqs, r.Tag)
 	}
--- /dev/null
+++ b/internal/standin/feed.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// This file owns the stand-in command channel: its events and who waits for more.
+
+// Feed is a command channel.
+type Feed struct {
+	Srv    *httptest.Server
+	Asked  chan int // what each call resumes from
+	mu     sync.Mutex
+	more   chan struct{} // closed when an event is added
+	events []string
+}
+
+// NewFeed returns a channel without events.
+func NewFeed(t testing.TB) *Feed {
+	f := &Feed{more: make(chan struct{}), Asked: make(chan int, 1000)}
+	f.Srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.URL.Query().Get("resume"))
+		block, _ := strconv.Atoi(r.URL.Query().Get("block"))
+		select {
+		case f.Asked <- after:
+		default:
+		}
+		limit := time.After(time.Duration(block) * time.Millisecond)
+		for {
+			f.mu.Lock()
+			n, more := len(f.events), f.more
+			f.mu.Unlock()
+			if n > after {
+				break
+			}
+			select {
+			case <-more:
+				continue
+			case <-limit:
+			case <-r.Context().Done():
+				return
+			}
+			break
+		}
+		io.WriteString(w, f.Known(after))
+	}))
+	t.Cleanup(f.Srv.Close)
+	return f
+}
+
+// Known is the answer to a call that has heard all events up to after.
+func (f *Feed) Known(after int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, len(f.events), strings.Join(f.events[min(after, len(f.events)):], ","))
+}
+
+// Add tells of members.
+func (f *Feed) Add(complete bool, members ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.events) + 1
+	f.events = append(f.events, fmt.Sprintf(`{"cursor":%d,"nodes":{"revision":%d,"complete":%v,"members":[%s]}}`,
+		n, n, complete, strings.Join(members, ",")))
+	close(f.more)
+	f.more = make(chan struct{})
+}
+
+// Heard waits until the program asks for what follows all events so far, which
+// it does once it has applied them.
+func (f *Feed) Heard(t testing.TB) {
+	t.Helper()
+	f.mu.Lock()
+	n := len(f.events)
+	f.mu.Unlock()
+	for Wait(t, "the command channel is asked", f.Asked) < n {
+	}
+}
+
+// Take has all events of another channel so far.
+func (f *Feed) Take(from *Feed) {
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, from.events...)
+}
--- /dev/null
+++ b/internal/standin/machine.go
@@ -0,0 +1,325 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// This file owns the emulated machine behind minions: its room, the queue of offers
+// that it looks at one at a time, the few starts under way, and its being cold.
+
+// Spec says what a machine can do.
+type Spec struct {
+	Name, Hall, Kind string
+	Cell             int
+	Cores, Memory    float64
+	Ask              [2]time.Duration // how long it looks at one offer
+	Queue            int              // offers that may wait
+	Starts           int              // at a time
+	// A cold machine starts at ColdShare of its pace, is warm after ColdFor, and falls
+	// over once it is offered more than Multiple times what it can start, Fresh offers
+	// at least, within FallFor.
+	Up                         time.Time // zero: long ago
+	ColdShare, Multiple, Fresh float64
+	ColdFor, FallFor           time.Duration
+	MeanWork                   time.Duration // of a start
+}
+
+// Task is what a set-up's description says of a task to a machine.
+type Task struct {
+	Class         string
+	Cores, Memory float64
+	Work, Life    time.Duration
+}
+
+// Describe writes a task as a description.
+func (t Task) Describe() string {
+	return fmt.Sprintf("%s %g %g %d %d", t.Class, t.Cores, t.Memory, t.Work, t.Life)
+}
+
+func describe(s string) (t Task, err error) {
+	_, err = fmt.Sscanf(s, "%s %g %g %d %d", &t.Class, &t.Cores, &t.Memory, &t.Work, &t.Life)
+	return t, err
+}
+
+// Watch is told what machines do. It may be called from many goroutines.
+type Watch interface {
+	Accepted(machine, key, tag string, t Task)
+	Runs(key string)
+	Over(key, tag string)
+}
+
+// Machine is an emulated machine. Each orchestrator reaches it by a Minion of its own.
+type Machine struct {
+	Spec
+	watch   Watch
+	asks    chan ask
+	starts  chan struct{}
+	stop    chan struct{}
+	mu      sync.Mutex
+	rng     *rand.Rand
+	cores   float64 // held
+	memory  float64
+	runs    map[string]*run
+	offers  []time.Time // while cold
+	peak    float64     // of offers against the bound
+	fallen  bool
+	paused  chan struct{} // not nil while it is paused; closed at the end of that
+	refused int
+	minions []*Minion
+}
+
+type ask struct {
+	m    *Minion
+	c    net.Conn
+	l    Line
+	task Task
+}
+
+type run struct {
+	Task
+	m    *Minion
+	c    net.Conn
+	key  string
+	stop chan struct{}
+	cut  bool
+}
+
+// NewMachine starts a machine.
+func NewMachine(t testing.TB, s Spec, w Watch, seed uint64) *Machine {
+	m := &Machine{Spec: s, watch: w, asks: make(chan ask, s.Queue), starts: make(chan struct{}, max(1, s.Starts)),
+		stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]*run{}}
+	go m.look()
+	t.Cleanup(func() { close(m.stop) })
+	return m
+}
+
+// Minion opens a way to the machine.
+func (m *Machine) Minion(t testing.TB) *Minion {
+	n := newMinion(t, m.Name, m)
+	m.mu.Lock()
+	m.minions = append(m.minions, n)
+	m.mu.Unlock()
+	return n
+}
+
+func (m *Machine) offered(c net.Conn, l Line) {
+	var n *Minion
+	m.mu.Lock()
+	for _, o := range m.minions {
+		if o.has(c) {
+			n = o
+		}
+	}
+	m.weigh()
+	fallen := m.fallen
+	m.mu.Unlock()
+	task, err := describe(*l.Blob)
+	if err != nil || fallen {
+		if err != nil {
+			Send(c, Finish("FINISH", l.Tag, 47))
+		}
+		return
+	}
+	select {
+	case m.asks <- ask{n, c, l, task}:
+	default:
+		m.refuse(c, l.Tag, "busy")
+	}
+}
+
+// weigh counts an offer against what a cold machine bears, and lets it fall over.
+func (m *Machine) weigh() {
+	if m.Up.IsZero() || time.Since(m.Up) > m.ColdFor {
+		return
+	}
+	now := time.Now()
+	m.offers = append(m.offers, now)
+	for len(m.offers) > 0 && now.Sub(m.offers[0]) > m.FallFor {
+		m.offers = m.offers[1:]
+	}
+	bound := max(m.Fresh, m.Multiple*m.pace()*float64(m.Starts)*m.FallFor.Seconds()/m.MeanWork.Seconds())
+	m.peak = max(m.peak, float64(len(m.offers))/bound)
+	if m.peak > 1 {
+		m.fallen = true
+	}
+}
+
+func (m *Machine) pace() float64 {
+	if m.Up.IsZero() || time.Since(m.Up) > m.ColdFor {
+		return 1
+	}
+	return m.ColdShare + (1-m.ColdShare)*time.Since(m.Up).Seconds()/m.ColdFor.Seconds()
+}
+
+func (m *Machine) refuse(c net.Conn, tag, note string) {
+	m.mu.Lock()
+	m.refused++
+	m.mu.Unlock()
+	l := Finish("FINISH", tag, 34)
+	l.Opts["note"] = note
+	Send(c, l)
+}
+
+// look takes the offers one at a time.
+func (m *Machine) look() {
+	for {
+		var a ask
+		select {
+		case a = <-m.asks:
+		case <-m.stop:
+			return
+		}
+		m.mu.Lock()
+		paused := m.paused
+		d := m.Ask[0] + time.Duration(m.rng.Int64N(int64(m.Ask[1]-m.Ask[0])+1))
+		m.mu.Unlock()
+		if paused != nil {
+			<-paused
+		}
+		select {
+		case <-time.After(d):
+		case <-m.stop:
+			return
+		}
+		m.decide(a)
+	}
+}
+
+func (m *Machine) decide(a ask) {
+	m.mu.Lock()
+	t := a.task
+	switch {
+	case m.fallen:
+		m.mu.Unlock()
+		return
+	case m.cores+t.Cores > m.Cores+1e-9:
+		m.mu.Unlock()
+		m.refuse(a.c, a.l.Tag, "cpu_full")
+		return
+	case m.memory+t.Memory > m.Memory+1e-9:
+		m.mu.Unlock()
+		m.refuse(a.c, a.l.Tag, "mem_full")
+		return
+	}
+	m.cores += t.Cores
+	m.memory += t.Memory
+	r := &run{Task: t, m: a.m, c: a.c, key: a.l.Opts["key"], stop: make(chan struct{})}
+	m.runs[a.l.Tag] = r
+	m.mu.Unlock()
+	m.watch.Accepted(m.Name, r.key, a.l.Tag, t)
+	blob := m.Name + " holds " + r.key
+	Send(a.c, Line{Verb: "STARTED", Tag: a.l.Tag, Opts: map[string]string{}, Blob: &blob})
+	go m.live(a.l.Tag, r)
+}
+
+// live starts an accepted task, and ends it when its time has come.
+func (m *Machine) live(tag string, r *run) {
+	select {
+	case m.starts <- struct{}{}:
+	case <-r.stop:
+		m.over(tag, r)
+		return
+	case <-m.stop:
+		return
+	}
+	m.mu.Lock()
+	d := time.Duration(float64(r.Work) / m.pace())
+	m.mu.Unlock()
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-r.stop:
+		case <-m.stop:
+		}
+		return false
+	}
+	ok := wait(d)
+	<-m.starts
+	if ok {
+		m.watch.Runs(r.key)
+		wait(r.Life)
+	}
+	m.over(tag, r)
+}
+
+// over gives the room back and tells the end.
+func (m *Machine) over(tag string, r *run) {
+	m.mu.Lock()
+	delete(m.runs, tag)
+	m.cores -= r.Cores
+	m.memory -= r.Memory
+	cause := 16
+	if r.cut {
+		cause = 31
+	}
+	m.mu.Unlock()
+	m.watch.Over(r.key, tag)
+	r.m.tell(r.c, Finish("FINISH", tag, cause))
+}
+
+func (m *Machine) released(_ net.Conn, tag string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.runs[tag]; r != nil && !r.cut {
+		r.cut = true
+		close(r.stop)
+	}
+}
+
+// Pause stops it from looking at offers for a while.
+func (m *Machine) Pause(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.paused == nil {
+		p := make(chan struct{})
+		m.paused = p
+		time.AfterFunc(d, func() {
+			m.mu.Lock()
+			m.paused = nil
+			m.mu.Unlock()
+			close(p)
+		})
+	}
+}
+
+// Room is what nobody has asked for.
+func (m *Machine) Room() (cores, memory float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Cores - m.cores, m.Memory - m.memory
+}
+
+// Peak is the most that it was offered while cold, over what it bears then, and
+// Refused how many offers it turned away.
+func (m *Machine) Peak() (peak float64, refused int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peak, m.refused
+}
+
+// Held is what runs there, or is to start, by tag.
+func (m *Machine) Held() map[string]Task {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]Task{}
+	for tag, r := range m.runs {
+		out[tag] = r.Task
+	}
+	return out
+}
+
+// Member is its line of the list as one orchestrator gets it, with some room.
+func (m *Machine) Member(n *Minion, phase string, cores, memory float64) string {
+	up := int64(0)
+	if !m.Up.IsZero() {
+		up = m.Up.UnixMilli()
+	}
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":%q,"size":1,`+
+		`"up_since_ms":%d,"spare":[%g,%g]}`, m.Name, n.Addr(), m.Hall, m.Kind, m.Cell, phase, up, cores, memory)
+}
--- /dev/null
+++ b/internal/standin/minion.go
@@ -0,0 +1,252 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// This file owns the stand-in minion's sockets and what it says by script.
+
+// Minion is a stand-in node. Without a Machine, what it says to a set-up follows
+// from the task's name: ok-, full-, error-, silent- or reset-; what it spoils at the
+// first set-up of a task it does well at the next: half-, bare-, twice- (a copy and a
+// foreign answer). With one, the Machine answers.
+type Minion struct {
+	Name   string
+	Starts chan Line // set-ups, in order; without a Machine only
+	Ends   chan Line // releases; the same
+	ln     net.Listener
+	mach   *Machine
+	mu     sync.Mutex
+	came   *sync.Cond // a connection came
+	conns  map[net.Conn]bool
+	held   map[string]bool
+	count  map[string]int // set-ups by task
+	dials  int            // connections so far
+	untold []Line         // ends that found no connection
+}
+
+// NewMinion starts a minion that follows its script.
+func NewMinion(t testing.TB, name string) *Minion { return newMinion(t, name, nil) }
+
+func newMinion(t testing.TB, name string, mach *Machine) *Minion {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &Minion{Name: name, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
+		conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
+	m.came = sync.NewCond(&m.mu)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			m.mu.Lock()
+			m.conns[c] = true
+			m.dials++
+			m.came.Broadcast()
+			untold := m.untold
+			m.untold = nil
+			m.mu.Unlock()
+			for _, l := range untold {
+				Send(c, l)
+			}
+			go m.serve(c)
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for c := range m.conns {
+			c.Close()
+		}
+	})
+	return m
+}
+
+func (m *Minion) has(c net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.conns[c]
+}
+
+// tell sends what concerns a task on the connection of its set-up, else on any open
+// one, else on the next.
+func (m *Minion) tell(c net.Conn, l Line) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.conns[c] {
+		for o := range m.conns {
+			c = o
+		}
+	}
+	if !m.conns[c] {
+		m.untold = append(m.untold, l)
+		return
+	}
+	Send(c, l)
+}
+
+// Addr is where it listens.
+func (m *Minion) Addr() string { return m.ln.Addr().String() }
+
+// Die closes it for good, with a reset for whoever is connected.
+func (m *Minion) Die() {
+	m.ln.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (m *Minion) serve(c net.Conn) {
+	defer func() {
+		m.mu.Lock()
+		delete(m.conns, c)
+		m.mu.Unlock()
+	}()
+	r := bufio.NewScanner(c)
+	for r.Scan() {
+		var l Line
+		if json.Unmarshal(r.Bytes(), &l) != nil {
+			return
+		}
+		switch {
+		case l.Verb == "START" && m.mach != nil:
+			m.mach.offered(c, l)
+		case l.Verb == "START":
+			m.start(c, l)
+		case l.Verb == "FINISH" && m.mach != nil:
+			m.mach.released(c, l.Tag)
+		case l.Verb == "FINISH":
+			m.mu.Lock()
+			stands := m.held[l.Tag]
+			delete(m.held, l.Tag)
+			m.mu.Unlock()
+			if stands {
+				Send(c, Finish("FINISH", l.Tag, 31))
+			}
+			m.Ends <- l
+		case l.Verb == "ECHO":
+			Send(c, Finish("ECHOED", l.Tag, 1))
+		}
+	}
+}
+
+func (m *Minion) start(c net.Conn, l Line) {
+	key := l.Opts["key"]
+	m.mu.Lock()
+	m.count[key]++
+	m.mu.Unlock()
+	switch kind, _, _ := strings.Cut(key, "-"); kind {
+	case "ok":
+		m.mu.Lock()
+		m.held[l.Tag] = true
+		m.mu.Unlock()
+		blob := m.Name + " holds " + *l.Blob
+		Send(c, Line{Verb: "STARTED", Tag: l.Tag, Opts: map[string]string{}, Blob: &blob})
+	case "half", "bare", "twice":
+		if m.Counted(key) == 1 || kind == "twice" {
+			m.spoil(c, kind, l)
+			break
+		}
+		good := l
+		good.Verb = "STARTED"
+		Send(c, good)
+	case "full":
+		full := Finish("FINISH", l.Tag, 34)
+		full.Opts["note"] = "busy"
+		Send(c, full)
+	case "error":
+		Send(c, Finish("FINISH", l.Tag, 47))
+	case "reset":
+		c.(*net.TCPConn).SetLinger(0)
+		m.mu.Lock()
+		delete(m.conns, c)
+		m.mu.Unlock()
+		c.Close()
+	}
+	m.Starts <- l
+}
+
+// spoil answers in a way that is not as it should be.
+func (m *Minion) spoil(c net.Conn, kind string, l Line) {
+	l.Verb = "STARTED"
+	b, err := json.Marshal(l)
+	if err != nil {
+		panic(err)
+	}
+	switch kind {
+	case "half":
+		c.Write(b[:len(b)/2])
+	case "bare":
+		l.Blob = nil
+		Send(c, l)
+	case "twice":
+		foreign := l
+		foreign.Tag = Tag(0xffff)
+		Send(c, foreign)
+		Send(c, Finish("FINISH", foreign.Tag, 34))
+		Send(c, l)
+		Send(c, l)
+	}
+}
+
+// End lets a task come to its end with a cause, told on any open connection or
+// on the next one opened.
+func (m *Minion) End(tag string, rc int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.held, tag)
+	for len(m.conns) == 0 {
+		m.came.Wait()
+	}
+	for c := range m.conns {
+		Send(c, Finish("FINISH", tag, rc))
+		return
+	}
+}
+
+// Counted is how many set-ups of a task came.
+func (m *Minion) Counted(key string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.count[key]
+}
+
+// Dials is how many connections came, and how many are open.
+func (m *Minion) Dials() (came, open int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dials, len(m.conns)
+}
+
+// Member is its line of the list.
+func (m *Minion) Member(phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"hall-a","flavor":"std","cell":1,"phase":%q,"size":1,`+
+		`"up_since_ms":0,"spare":[32,64]}`, m.Name, m.Addr(), phase)
+}
+
+// Deaf refuses new connections; open ones stay.
+func (m *Minion) Deaf() { m.ln.Close() }
+
+// Forget no longer knows its connections, and waits for a new one.
+func (m *Minion) Forget() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	dials := m.dials
+	clear(m.conns)
+	for m.dials == dials {
+		m.came.Wait()
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -406,7 +406,7 @@
 	case ravenhitch.Place:
 		_, err = fmt.Fprintf(e.w, "PLACE %d %s %s %d\n", inst, a.Ticket, a.Machine, a.AbandonAtUs)
 	case ravenhitch.Deny:
-		_, err = fmt.Fprintf(e.w, "DENY %d %s %d\n", inst, a.Ticket, a.RetryInUs)
+		_, err = fmt.Fprintf(e.w, "DENY %d %s 0\n", inst, a.Ticket)
 	case ravenhitch.Error:
 		_, err = fmt.Fprintf(e.w, "ERROR %d %s\n", inst, a.Ticket)
 	case ravenhitch.Move:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -110,7 +110,7 @@
 	var out bytes.Buffer
 	e := NewEncoder(&out)
 	if err := e.Actions(3, []ravenhitch.Action{
-		ravenhitch.Place{Ticket: "t", Machine: "m", AbandonAtUs: 9}, ravenhitch.Deny{Ticket: "t", RetryInUs: 5},
+		ravenhitch.Place{Ticket: "t", Machine: "m", AbandonAtUs: 9}, ravenhitch.Deny{Ticket: "t"},
 		ravenhitch.Error{Ticket: "t"}, ravenhitch.Move{Ticket: "t"}, ravenhitch.AskLoad{Machine: "m"},
 		ravenhitch.Observe{Active: true}, ravenhitch.Refresh{}, ravenhitch.Cancel{Ticket: "t", Attempt: 1},
 		ravenhitch.SetAlarm{OffsetUs: 7, Ref: "wake"}, ravenhitch.SayLog{Text: "two\nlines"},
@@ -123,7 +123,7 @@
 	if err := errors.Join(e.Fault(3, "panic: x"), e.End("12")); err != nil {
 		t.Fatal(err)
 	}
-	want := "PLACE 3 t m 9\nDENY 3 t 5\nERROR 3 t\nMOVE 3 t\nASK_LOAD 3 m\nOBSERVE 3 1\nREFRESH 3\nCANCEL 3 t 1\n" +
+	want := "PLACE 3 t m 9\nDENY 3 t 0\nERROR 3 t\nMOVE 3 t\nASK_LOAD 3 m\nOBSERVE 3 1\nREFRESH 3\nCANCEL 3 t 1\n" +
 		"SET_ALARM 3 7 wake\nSAY_LOG 3 two lines\nFAULT 3 panic: x\nREADY 12\n"
 	if out.String() != want {
 		t.Errorf("got\n%s\nwant\n%s", out.String(), want)
--- a/placer.go
+++ b/placer.go
@@ -102,9 +102,9 @@
 	rttWeight = 1.0 / 16
 	// retryEvery is how often held tasks are looked at when nothing happens.
 	retryEvery = second / 20
-	// retryAdvice is when an owner whose task was refused is told to come again: not
-	// later than it would anyway, as room changes within a second.
-	retryAdvice = second
+	// lateSure is by how much a held task must be too late, by the pace at which room
+	// comes, to be refused before its time is up.
+	lateSure = 1.25
 	// ticksEarly is how many ticks before its deadline a held task is answered.
 	ticksEarly = 4
 )
@@ -132,10 +132,13 @@
 	}
 	class, ok := p.classes[rt.Class]
 	if !ok || rt.DeadlineUs <= p.now || !p.everFits(class, rt) {
-		p.do(Deny{Ticket: rt.Ticket, RetryInUs: min(retryAdvice, p.s.MaxRetryAfterUs)})
+		p.do(Deny{Ticket: rt.Ticket})
 		return
 	}
-	t := &task{Task: rt, class: class, arrived: p.now}
+	t := &task{Task: rt, class: class, arrived: p.now, since: p.now}
+	if rt.SinceUs > 0 {
+		t.since = min(t.since, rt.SinceUs)
+	}
 	p.tasks[rt.Ticket] = t
 	p.hold(t)
 }
@@ -576,7 +579,7 @@
 		t.rank = p.rank(t)
 	}
 	slices.SortStableFunc(p.waiting, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.arrived, b.arrived))
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.since, b.since))
 	})
 	type shape struct {
 		class      int
@@ -585,6 +588,7 @@
 	}
 	stuck := map[shape]bool{}
 	clear(p.kept)
+	ahead := 0.0 // units that are held and go first
 	for _, t := range slices.Clone(p.waiting) {
 		if p.hopeless(t) {
 			p.finish(t)
@@ -594,18 +598,25 @@
 		if p.s.Classes[t.class].Apart != ScopeNone {
 			s.program = t.Program
 		}
-		if stuck[s] && t.mayRun == nil {
-			p.keepFor(t)
+		if !stuck[s] || t.mayRun != nil {
+			if m := p.choose(t); m != nil {
+				if !p.ask(t, m) {
+					p.send(t, m)
+				}
+				continue
+			}
+		}
+		if t.mayRun != nil {
 			continue
 		}
-		if m := p.choose(t); m != nil {
-			if !p.ask(t, m) {
-				p.send(t, m)
-			}
-		} else if t.mayRun == nil {
-			stuck[s] = true
-			p.keepFor(t)
+		stuck[s] = true
+		units := p.s.Units(t.Cores, t.Mem)
+		if p.roomPace > 0 && (ahead+units)/p.roomPace*float64(second) > float64(t.DeadlineUs-p.now)*lateSure {
+			p.finish(t) // room comes too late for it: its owner is told now
+			continue
 		}
+		ahead += units
+		p.keepFor(t)
 	}
 }
 
@@ -691,7 +702,7 @@
 func (p *Placer) finish(t *task) {
 	c := &p.s.Classes[t.class]
 	if t.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && c.Group == ScopeAll {
-		p.do(Deny{Ticket: t.Ticket, RetryInUs: min(retryAdvice, p.s.MaxRetryAfterUs)})
+		p.do(Deny{Ticket: t.Ticket})
 	} else {
 		p.do(Error{Ticket: t.Ticket})
 	}
--- a/state.go
+++ b/state.go
@@ -77,6 +77,7 @@
 	Task
 	class    int
 	arrived  int64
+	since    int64 // since when its owner stands in line
 	attempts []*attempt
 	placed   bool
 	ranAt    int64 // when it was placed
@@ -105,6 +106,7 @@
 	tasks    map[string]*task
 	waiting  []*task
 	kept     map[*machine]float64 // for held tasks of that rank, in this round
+	roomPace float64              // at which room comes while tasks wait, or 0
 	stirred  bool                 // something happened that may let a held task go
 	wakeAt   int64
 
@@ -466,6 +468,8 @@
 		p.reached(e)
 	case ClientGone:
 		p.gone(p.tasks[e.Ticket])
+	case Pressure:
+		p.roomPace = e.Pace
 	case Bell:
 		p.wakeAt, p.stirred = 0, true
 	}
