Keep room for relays in a crowd, and guess others' binds while room is short

While tasks wait or a crowd comes (core tells the module, Pressure), the module now counts others as binding what it bound itself beyond chance, and leaves out what the view newly shows as far as refusals teach; lower ranks leave room to those that internal/storm expects within half a second. Own tasks' ends count for the pace. A start into a storm finds a usual rate to come down to; a caller keeps its slot.

--- a/api.go
+++ b/api.go
@@ -243,8 +243,12 @@
 	// fallen silent.
 	Reached struct{ Machine string }
 	// Pressure says at what pace room comes while tasks wait for it, in units a second
-	// (see Settings.Units); 0 where that is not known, or nothing waits.
-	Pressure   struct{ Pace float64 }
+	// (see Settings.Units), 0 where that is not known or nothing waits; and how many
+	// units each class is to leave to those of more worth that are on their way.
+	Pressure struct {
+		Pace float64
+		Keep []float64 // by class, or nil
+	}
 	Bell       struct{ Ref string }
 	ClientGone struct{ Ticket string }
 )
--- a/internal/core/advice.go
+++ b/internal/core/advice.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"ravenhitch"
@@ -19,12 +21,15 @@
 	// Held sets how many units of each class wait for room.
 	Held(now int64, units []float64)
 	Started(now int64, c storm.Caller)
+	Ended(now int64, c storm.Caller)
 	Adopted(now int64, c storm.Caller)
 	Left(now int64, c storm.Caller)
 	// Refused is how long the owner is to stay away.
 	Refused(now int64, c storm.Caller) (waitUs int64)
 	// Pace is at what pace room comes, in units a second, 0 where nothing tells.
 	Pace(now int64) float64
+	// Keep is how many units each class is to leave to higher ranks on their way.
+	Keep(now int64) []float64
 	Tick(now int64) (storm.Change, bool)
 	Figures(now int64) storm.Figures
 }
@@ -42,7 +47,7 @@
 const (
 	// pressEvery is how often the module is told of the pace of room, and pressStep by
 	// what share that must have changed.
-	pressEvery = 100_000
+	pressEvery = 20_000
 	pressStep  = 0.05
 )
 
@@ -50,6 +55,7 @@
 type pressure struct {
 	at   int64
 	pace float64
+	keep []float64
 }
 
 // Advise sets who advises; before the first set-up.
@@ -91,15 +97,18 @@
 	if c.now-c.pressed.at < pressEvery {
 		return
 	}
-	pace := c.advisor.Pace(c.now)
+	pace, keep := c.advisor.Pace(c.now), c.advisor.Keep(c.now)
 	c.pressed.at = c.now
-	if d := pace - c.pressed.pace; d < 0 && -d <= pressStep*c.pressed.pace || d >= 0 && d <= pressStep*c.pressed.pace {
+	if near(pace, c.pressed.pace) && slices.EqualFunc(keep, c.pressed.keep, near) {
 		return
 	}
-	c.pressed.pace = pace
-	c.event(ravenhitch.Pressure{Pace: pace})
+	c.pressed.pace, c.pressed.keep = pace, slices.Clone(keep)
+	c.event(ravenhitch.Pressure{Pace: pace, Keep: c.pressed.keep})
 }
 
+// near reports whether a figure is much as it was.
+func near(now, was float64) bool { return math.Abs(now-was) <= pressStep*was }
+
 // Constant advises everybody alike: the advice of old, kept to measure against.
 type Constant time.Duration
 
@@ -108,8 +117,10 @@
 func (Constant) Held(int64, []float64)                   {}
 func (Constant) Started(int64, storm.Caller)             {}
 func (Constant) Adopted(int64, storm.Caller)             {}
+func (Constant) Ended(int64, storm.Caller)               {}
 func (Constant) Left(int64, storm.Caller)                {}
 func (a Constant) Refused(int64, storm.Caller) int64     { return time.Duration(a).Microseconds() }
 func (Constant) Pace(int64) float64                      { return 0 }
+func (Constant) Keep(int64) []float64                    { return nil }
 func (Constant) Tick(int64) (ch storm.Change, ok bool)   { return ch, false }
 func (Constant) Figures(int64) (f storm.Figures)         { return f }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -552,6 +552,7 @@
 // over is the end of a task that stood. Its owner is told, but where it asked
 // for the end itself.
 func (c *Core) over(r *request, st ravenhitch.Status, why ravenhitch.Why) {
+	c.advisor.Ended(c.now, r.caller())
 	c.done(r, st, why, true)
 	if r.state == standing && st != ravenhitch.Cancelled {
 		c.counts.Over++
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -65,11 +66,12 @@
 	cores   float64 // held
 	memory  float64
 	runs    map[string]*run
-	offers  []time.Time // while cold
-	peak    float64     // of offers against the bound
+	queued  map[string]bool // offers that wait; false: given up meanwhile
+	offers  []time.Time     // while cold
+	peak    float64         // of offers against the bound
 	fallen  bool
-	paused  chan struct{} // not nil while it is paused; closed at the end of that
-	refused int
+	paused  chan struct{}  // not nil while it is paused; closed at the end of that
+	refused map[string]int // by note
 	minions []*Minion
 }
 
@@ -92,7 +94,7 @@
 // NewMachine starts a machine.
 func NewMachine(t testing.TB, s Spec, w Watch, seed uint64) *Machine {
 	m := &Machine{Spec: s, watch: w, asks: make(chan ask, s.Queue), starts: make(chan struct{}, max(1, s.Starts)),
-		stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]*run{}}
+		stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]*run{}, queued: map[string]bool{}, refused: map[string]int{}}
 	go m.look()
 	t.Cleanup(func() { close(m.stop) })
 	return m
@@ -125,9 +127,15 @@
 		}
 		return
 	}
+	m.mu.Lock()
+	m.queued[l.Tag] = true
+	m.mu.Unlock()
 	select {
 	case m.asks <- ask{n, c, l, task}:
 	default:
+		m.mu.Lock()
+		delete(m.queued, l.Tag)
+		m.mu.Unlock()
 		m.refuse(c, l.Tag, "busy")
 	}
 }
@@ -158,7 +166,7 @@
 
 func (m *Machine) refuse(c net.Conn, tag, note string) {
 	m.mu.Lock()
-	m.refused++
+	m.refused[note]++
 	m.mu.Unlock()
 	l := Finish("FINISH", tag, 34)
 	l.Opts["note"] = note
@@ -175,6 +183,11 @@
 			return
 		}
 		m.mu.Lock()
+		if !m.queued[a.l.Tag] {
+			delete(m.queued, a.l.Tag)
+			m.mu.Unlock()
+			continue
+		}
 		paused := m.paused
 		d := m.Ask[0] + time.Duration(m.rng.Int64N(int64(m.Ask[1]-m.Ask[0])+1))
 		m.mu.Unlock()
@@ -193,7 +206,12 @@
 func (m *Machine) decide(a ask) {
 	m.mu.Lock()
 	t := a.task
+	wanted := m.queued[a.l.Tag]
+	delete(m.queued, a.l.Tag)
 	switch {
+	case !wanted:
+		m.mu.Unlock()
+		return
 	case m.fallen:
 		m.mu.Unlock()
 		return
@@ -270,6 +288,9 @@
 		r.cut = true
 		close(r.stop)
 	}
+	if m.queued[tag] {
+		m.queued[tag] = false
+	}
 }
 
 // Pause stops it from looking at offers for a while.
@@ -296,11 +317,11 @@
 }
 
 // Peak is the most that it was offered while cold, over what it bears then, and
-// Refused how many offers it turned away.
-func (m *Machine) Peak() (peak float64, refused int) {
+// Refused how many offers it turned away, by what it said.
+func (m *Machine) Peak() (peak float64, refused map[string]int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.peak, m.refused
+	return m.peak, maps.Clone(m.refused)
 }
 
 // Held is what runs there, or is to start, by tag.
--- a/internal/storm/book.go
+++ b/internal/storm/book.go
@@ -36,15 +36,12 @@
 
 type book struct {
 	entries []entry
-	mask    uint64
+	buckets uint64
 }
 
 func newBook(callers int) *book {
-	n := uint64(1)
-	for n*ways < uint64(callers) {
-		n *= 2
-	}
-	return &book{entries: make([]entry, n*ways), mask: n - 1}
+	n := uint64((callers + ways - 1) / ways)
+	return &book{entries: make([]entry, n*ways), buckets: n}
 }
 
 // mix spreads keys, which may be numbered in order.
@@ -58,7 +55,7 @@
 func (b *book) bucket(key uint64) (mark uint32, es []entry) {
 	h := mix(key)
 	mark = max(1, uint32(h>>32))
-	i := (h & b.mask) * ways
+	i := (h & (1<<32 - 1)) * b.buckets >> 32 * ways
 	return mark, b.entries[i : i+ways]
 }
 
--- a/internal/storm/calendar.go
+++ b/internal/storm/calendar.go
@@ -61,9 +61,14 @@
 			break
 		}
 	}
+	c.put(slot, class, units)
+	return slot
+}
+
+// put books units in a slot, full or not.
+func (c *calendar) put(slot int64, class int, units float64) {
 	*c.at(slot, class) += float32(units)
 	c.sums[class] += units
-	return slot
 }
 
 // cancel takes a booking back, unless it is past.
--- a/internal/storm/detect.go
+++ b/internal/storm/detect.go
@@ -179,10 +179,13 @@
 	}
 	asks, again, opened := float64(d.asks.sum), float64(d.again.sum), float64(d.opened.sum)
 	rate := asks + opened
-	if d.state == Calm || d.state == Rising && rate < d.usual {
-		// In a storm the usual rate is what it was.
-		d.usual += (asks - again - d.usual) * min(1, float64(gone)/float64(min(usualHalf, max(second, now-d.born))))
+	fresh := asks - again
+	if d.state != Calm {
+		// A crowd is not the usual, but what lasts becomes it: else a start into a crowd
+		// would have none to come down to.
+		fresh = min(fresh, max(d.usual*risesAt, d.usual+crowdLeast))
 	}
+	d.usual += (fresh - d.usual) * min(1, float64(gone)/float64(min(usualHalf, max(second, now-d.born))))
 	d.services.fade(1 - min(0.9, float64(gone)/float64(second)))
 	crowd := rate > max(d.usual*risesAt, d.usual+crowdLeast)
 	waits := held > 0 && pace > 0 && held/pace > 1 // more than a second's room
--- a/internal/storm/pace.go
+++ b/internal/storm/pace.go
@@ -2,7 +2,8 @@
 
 // This file owns the learned pace: how many units a second find room. It is learned
 // from the starts while something waits, since only then do starts tell what there is
-// to have; it must never take a quiet time for a lack of room.
+// to have, and from the ends of own tasks, whose room this orchestrator knows of
+// first. It must never take a quiet time for a lack of room.
 
 const (
 	paceBucket  = second / 10
@@ -16,6 +17,7 @@
 // pace is a window over the last two seconds.
 type pace struct {
 	units  [paceBuckets]float64
+	ends   [paceBuckets]float64
 	head   int64 // the bucket that is filled now
 	since  int64 // since when something waits, 0 where nothing does
 	last   int64 // when something last waited
@@ -25,15 +27,21 @@
 func (p *pace) advance(now int64) {
 	b := now / paceBucket
 	if b-p.head >= paceBuckets || p.head == 0 {
-		p.units = [paceBuckets]float64{}
+		p.units, p.ends = [paceBuckets]float64{}, [paceBuckets]float64{}
 		p.head = b
 		return
 	}
 	for ; p.head < b; p.head++ {
 		p.units[(p.head+1)%paceBuckets] = 0
+		p.ends[(p.head+1)%paceBuckets] = 0
 	}
 }
 
+func (p *pace) ended(now int64, units float64) {
+	p.advance(now)
+	p.ends[p.head%paceBuckets] += units
+}
+
 func (p *pace) started(now int64, units float64) {
 	p.advance(now)
 	p.units[p.head%paceBuckets] += units
@@ -69,7 +77,11 @@
 		sum += p.units[(p.head-i+paceBuckets*2)%paceBuckets]
 	}
 	span := float64((n-1)*paceBucket+now%paceBucket+1) / float64(second)
-	p.latest = max(paceLeast, sum/span)
+	var ends float64
+	for _, v := range p.ends {
+		ends += v
+	}
+	p.latest = max(paceLeast, sum/span, ends/(float64(paceBuckets*paceBucket)/float64(second)))
 	return p.latest
 }
 
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -27,6 +27,8 @@
 	// stayLeast bounds the share of an advice that callers are taken to stay away:
 	// below it, longer advice would not move them.
 	stayLeast = 0.25
+	// heedLeast is the share of an advice below which a return shows no regard to it.
+	heedLeast = 0.2
 	// learnFrom is the shortest advice that a return teaches from: under it owners stay
 	// away for reasons of their own.
 	learnFrom = 3 * second / 2
@@ -65,6 +67,7 @@
 	cal   *calendar
 	pace  pace
 	watch detector
+	keep  forecast
 	held  []float64 // units that wait, by class
 	stay  []float64 // the share of an advice that callers stay away, by class
 	all   float64   // held in all
@@ -81,7 +84,7 @@
 	if s.LongestUs <= 0 {
 		s.LongestUs = longestDefault
 	}
-	st := &Storm{s: s, rng: rand.New(rand.NewPCG(seed, 0x5707)), book: newBook(s.Callers), cal: newCalendar(len(s.Classes)),
+	st := &Storm{s: s, rng: rand.New(rand.NewPCG(seed, 0x5707)), book: newBook(s.Callers), cal: newCalendar(len(s.Classes)), keep: newForecast(len(s.Classes)),
 		held: make([]float64, len(s.Classes)), stay: make([]float64, len(s.Classes)), born: -1}
 	for i := range st.stay {
 		st.stay[i] = 1
@@ -108,6 +111,7 @@
 	s.advance(now)
 	class := s.class(c)
 	s.watch.asked(now, c)
+	s.keep.add(now, class, c.Units)
 	e := s.book.find(c.Key)
 	if e == nil {
 		return now
@@ -115,8 +119,11 @@
 	s.watch.returned(now)
 	if e.booked() {
 		if advice := e.advice(); advice >= learnFrom {
-			away := float64(now - e.toldAt(now))
-			s.stay[class] += (min(1, away/float64(advice)) - s.stay[class]) * returnsWeight
+			// Whoever ignores advice stays no longer for being told more, and must not
+			// lengthen that of the others.
+			if share := float64(now-e.toldAt(now)) / float64(advice); share >= heedLeast {
+				s.stay[class] += (min(1, share) - s.stay[class]) * returnsWeight
+			}
 		}
 		s.cal.cancel(e.class(), e.slot(now), e.load())
 		e.unbook()
@@ -146,6 +153,12 @@
 	s.book.drop(c.Key)
 }
 
+// Ended takes it that a task that stood is over: its room is there again.
+func (s *Storm) Ended(now int64, c Caller) {
+	s.advance(now)
+	s.pace.ended(now, c.Units)
+}
+
 // Adopted takes a task that was found running.
 func (s *Storm) Adopted(now int64, c Caller) {
 	s.advance(now)
@@ -168,11 +181,21 @@
 	if e.booked() { // asked for twice over
 		s.cal.cancel(e.class(), e.slot(now), e.load())
 	}
+	rate := s.pace.rate(now)
+	if rate <= 0 {
+		// Nothing tells yet: it comes again when something does.
+		wait := min(sureAfter+s.rng.Int64N(2*sureAfter), s.s.LongestUs)
+		e.book(now, class, c.Units, now/slotUs, wait)
+		e.unbook()
+		return wait
+	}
 	back := s.place(now, class, c.Units) - int64(float64(c.WaitUs)*leadShare)
-	if at := e.slot(now) * slotUs; at > now && at < back {
-		back = at - slotUs // it keeps its place, also where it came too early
+	slot := e.slot(now)
+	if at := slot * slotUs; at > now && at < back {
+		s.cal.put(slot, class, c.Units) // it keeps its place, also where it came too early
+	} else {
+		slot = s.cal.reserve(now, max(now, back), class, c.Units, rate)
 	}
-	slot := s.cal.reserve(now, max(now, back), class, c.Units, s.pace.rate(now))
 	wait := s.advice(slot*slotUs-now, class)
 	e.book(now, class, c.Units, slot, wait)
 	return wait
--- a/placer.go
+++ b/placer.go
@@ -52,6 +52,13 @@
 	probesMost  = 2
 	overMost    = 8.0 // a report of more than this many times a machine's size is absurd
 
+	// taken is the share of a machine that others are taken to have used, of the room
+	// that the view newly shows, while room is short: each refusal adds a step, so many
+	// offers accepted take it back.
+	takenStep   = 0.01
+	takenOffers = 12
+	takenMost   = 0.2
+
 	// memoryFull is the share of memory in use over which machines slow down.
 	memoryFull = 0.92
 	// bendLeast bounds how little a machine may be taken to bear.
@@ -104,7 +111,7 @@
 	retryEvery = second / 20
 	// lateSure is by how much a held task must be too late, by the pace at which room
 	// comes, to be refused before its time is up.
-	lateSure = 1.25
+	lateSure = 2.0
 	// ticksEarly is how many ticks before its deadline a held task is answered.
 	ticksEarly = 4
 )
@@ -172,6 +179,7 @@
 		a.starting = true
 	}
 	a.m.heal(p.now, t.class)
+	p.taken = max(0, p.taken-takenStep/takenOffers)
 	a.m.window = min(windowMost, a.m.window+1/a.m.window)
 	p.holds(t, 1)
 	p.runs(t, a.m)
@@ -196,6 +204,7 @@
 		a.m.bind(p.now, -t.Cores, -t.Mem)
 	}
 	if e.Status == Full && (e.Why == WhyCores || e.Why == WhyMemory) {
+		p.taken = min(takenMost, p.taken+takenStep)
 		p.refused(a.m, t, e.Why)
 	}
 	if ran || e.Closed || t.over {
@@ -435,6 +444,12 @@
 		return t.Cores <= k.Cores*p.s.CoresMultiple && t.Mem <= k.Memory*p.s.MemoryMultiple
 	}
 	cores, mem := p.load(m)
+	if p.crowd {
+		// Others chase what the view newly shows, and bind as this placer did since the
+		// view; what own tasks gave up, only this one knows.
+		cores += min(p.taken*k.Cores, max(0, m.SpareCores-m.lastingC)) + p.others[0]*k.Cores
+		mem += min(p.taken*k.Memory, max(0, m.SpareMem-m.lastingM)) + p.others[1]*k.Memory
+	}
 	if cores+t.Cores > k.Cores*p.s.CoresMultiple || mem+t.Mem > k.Memory*p.s.MemoryMultiple {
 		return false
 	}
@@ -574,7 +589,7 @@
 	if !p.stirred {
 		return
 	}
-	p.stirred = false
+	p.stirred, p.others = false, p.othersBinds()
 	for _, t := range p.waiting {
 		t.rank = p.rank(t)
 	}
@@ -589,6 +604,10 @@
 	stuck := map[shape]bool{}
 	clear(p.kept)
 	ahead := 0.0 // units that are held and go first
+	var room float64
+	if slices.Max(p.keep) > 0 {
+		room = p.room()
+	}
 	for _, t := range slices.Clone(p.waiting) {
 		if p.hopeless(t) {
 			p.finish(t)
@@ -598,10 +617,12 @@
 		if p.s.Classes[t.class].Apart != ScopeNone {
 			s.program = t.Program
 		}
-		if !stuck[s] || t.mayRun != nil {
+		units := p.s.Units(t.Cores, t.Mem)
+		if (!stuck[s] || t.mayRun != nil) && (p.keep[t.class] == 0 || room > p.keep[t.class]) {
 			if m := p.choose(t); m != nil {
 				if !p.ask(t, m) {
 					p.send(t, m)
+					room -= units
 				}
 				continue
 			}
@@ -610,7 +631,6 @@
 			continue
 		}
 		stuck[s] = true
-		units := p.s.Units(t.Cores, t.Mem)
 		if p.roomPace > 0 && (ahead+units)/p.roomPace*float64(second) > float64(t.DeadlineUs-p.now)*lateSure {
 			p.finish(t) // room comes too late for it: its owner is told now
 			continue
--- a/placer_test.go
+++ b/placer_test.go
@@ -1093,3 +1093,88 @@
 		t.Errorf("suspicion %v after an own stall, want none", s)
 	}
 }
+
+// crowded is a placer that is told of room at a pace, or that room is to be kept.
+func crowded(t *testing.T, spare float64, p Pressure) *bed {
+	s := testSettings()
+	s.UnitCores, s.UnitMemory = 1, 2
+	b := newBed(t, s, 1, small("a", 0, spare), small("b", 0, spare))
+	b.at(ms, p)
+	return b
+}
+
+// A held task that finds no room in its time by far, at the pace at which room comes,
+// is refused at once; one that may find it waits; and without a pace all wait.
+func TestRefusedOnceItIsKnown(t *testing.T) {
+	for _, x := range []struct {
+		pace float64
+		want int
+	}{{0, 0}, {1, 3}, {10, 0}} {
+		b := crowded(t, -20, Pressure{Pace: x.pace})
+		denied := 0
+		for i := range 12 {
+			denied += len(of[Deny](b.at(ms, b.request(fmt.Sprint(i), "safe", 1, 2))))
+		}
+		// With 5 s left and twice that to be sure, nine units find room at one a second.
+		if denied != x.want {
+			t.Errorf("at a pace of %v: %d refused of 12, want %d", x.pace, denied, x.want)
+		}
+	}
+}
+
+// Of equal rank the one whose owner stands in line for longer goes first.
+func TestPlaceInLine(t *testing.T) {
+	b := crowded(t, -20, Pressure{})
+	late, early := b.request("late", "safe", 30, 60), b.request("early", "safe", 30, 60)
+	early.SinceUs = b.now - 3000*ms
+	b.at(ms, late)
+	b.at(ms, early)
+	got := of[Place](b.at(ms, List{Kind: ListFull, Entries: []Entry{small("a", 0, 32)}}))
+	if len(got) != 1 || got[0].Ticket != "early" {
+		t.Errorf("placed %v", got)
+	}
+}
+
+// While a crowd comes, a class leaves room to those of more worth, as far as they are
+// expected to need it, and no longer.
+func TestRoomIsKept(t *testing.T) {
+	keep := make([]float64, len(testSettings().Classes))
+	keep[0] = 100
+	b := crowded(t, 30, Pressure{Keep: keep})
+	if got := of[Place](b.at(ms, b.request("web", "safe", 1, 2))); len(got) != 0 {
+		t.Errorf("placed %v", got)
+	}
+	if got := of[Place](b.at(ms, b.request("other", "all", 1, 2))); len(got) != 1 {
+		t.Errorf("another class: placed %v", got)
+	}
+	if got := of[Place](b.at(ms, Pressure{})); len(got) != 1 || got[0].Ticket != "web" {
+		t.Errorf("once nothing is kept: placed %v", got)
+	}
+	keep[0] = 1
+	b = crowded(t, 30, Pressure{Keep: keep})
+	if got := of[Place](b.at(ms, b.request("web", "safe", 1, 2))); len(got) != 1 {
+		t.Errorf("with room for all: placed %v", got)
+	}
+}
+
+// In a crowd others are taken to bind as much as this placer: it stops where, with
+// them, a machine would be full.
+func TestOthersBindToo(t *testing.T) {
+	for _, x := range []struct {
+		p          Pressure
+		least, all int
+	}{{Pressure{}, 70, 100}, {Pressure{Pace: 1000}, 35, 60}} {
+		b := crowded(t, 32, x.p) // two machines that accept 48 cores each
+		placed := 0
+		for i := range 120 {
+			tag := fmt.Sprint(i)
+			for _, a := range of[Place](b.at(ms, b.request(tag, "safe", 1, 2))) {
+				placed++
+				b.at(ms, Accepted{Ticket: a.Ticket, Machine: a.Machine, RTTUs: 20 * ms})
+			}
+		}
+		if placed < x.least || placed > x.all {
+			t.Errorf("with %+v %d were placed, want %d to %d", x.p, placed, x.least, x.all)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -14,6 +14,9 @@
 	"slices"
 )
 
+// lastingViews is how many views of a machine are kept.
+const lastingViews = 4
+
 // delta is a change that this placer made to what a machine is asked for.
 type delta struct {
 	at         int64
@@ -29,14 +32,17 @@
 // machine is what this placer knows of a machine.
 type machine struct {
 	Entry
-	id     uint64 // hash of its name
-	known  bool   // it was on a list, so its places are known
-	listed bool   // it is on the list held now
-	kind   int    // index in Settings.Kinds, or -1
-	viewAt int64
-	deltas []delta
-	homes  map[uint64]*home
-	refs   int // attempts and tasks without an outcome
+	id                 uint64 // hash of its name
+	known              bool   // it was on a list, so its places are known
+	listed             bool   // it is on the list held now
+	kind               int    // index in Settings.Kinds, or -1
+	viewAt             int64
+	spares             [lastingViews][2]float64 // of the last views
+	views              int
+	lastingC, lastingM float64 // room that all of these showed
+	deltas             []delta
+	homes              map[uint64]*home
+	refs               int // attempts and tasks without an outcome
 
 	unanswered []*attempt
 	window     float64 // unanswered attempts that it may owe
@@ -106,6 +112,10 @@
 	tasks    map[string]*task
 	waiting  []*task
 	kept     map[*machine]float64 // for held tasks of that rank, in this round
+	taken    float64              // of the room that the view shows, by others
+	others   [2]float64           // shares of all cores and memory bound by others since the view
+	crowd    bool                 // more tasks come than find room
+	keep     []float64            // units that a class leaves to those of more worth
 	roomPace float64              // at which room comes while tasks wait, or 0
 	stirred  bool                 // something happened that may let a held task go
 	wakeAt   int64
@@ -132,7 +142,7 @@
 	p := &Placer{
 		s: s, rng: rand.New(rand.NewPCG(seed, uint64(s.SelfIndex))), classes: map[string]int{},
 		tenants: map[string]int{}, machines: map[string]*machine{}, tasks: map[string]*task{}, kept: map[*machine]float64{},
-		lag: lagFirst * lagStep, born: -1, ownCores: make([]float64, len(s.Tenants)),
+		lag: lagFirst * lagStep, born: -1, ownCores: make([]float64, len(s.Tenants)), keep: make([]float64, len(s.Classes)),
 	}
 	for i, c := range s.Classes {
 		p.classes[c.Name] = i
@@ -443,6 +453,15 @@
 	m.Entry, m.known, m.listed = x, true, x.State != Gone
 	m.kind = slices.IndexFunc(p.s.Kinds, func(k Kind) bool { return k.Name == x.Kind })
 	m.viewAt = p.now
+	m.spares[m.views%lastingViews] = [2]float64{x.SpareCores, x.SpareMem}
+	m.views++
+	m.lastingC, m.lastingM = 0, 0
+	if m.views >= lastingViews {
+		m.lastingC, m.lastingM = math.Inf(1), math.Inf(1)
+		for _, s := range m.spares {
+			m.lastingC, m.lastingM = min(m.lastingC, s[0]), min(m.lastingM, s[1])
+		}
+	}
 	old := p.now - bindsKept
 	m.deltas = slices.DeleteFunc(m.deltas, func(d delta) bool { return d.at < old })
 }
@@ -469,7 +488,10 @@
 	case ClientGone:
 		p.gone(p.tasks[e.Ticket])
 	case Pressure:
-		p.roomPace = e.Pace
+		p.roomPace, p.stirred = e.Pace, true
+		p.crowd = e.Pace > 0 || slices.ContainsFunc(e.Keep, func(v float64) bool { return v > 0 })
+		clear(p.keep)
+		copy(p.keep, e.Keep)
 	case Bell:
 		p.wakeAt, p.stirred = 0, true
 	}
@@ -499,6 +521,51 @@
 	return v * math.Exp2(-float64(age)/float64(half))
 }
 
+// othersBinds guesses what the others bound since the view, as shares of the fleet:
+// each as much as this placer did beyond what chance makes of binds and ends. A crowd
+// is spread over all of them.
+func (p *Placer) othersBinds() (shares [2]float64) {
+	if !p.crowd || !p.s.HasView {
+		return shares
+	}
+	var net, squares, have [2]float64
+	for _, m := range p.order {
+		k := p.size(m)
+		if k == nil || !m.listed {
+			continue
+		}
+		have[0], have[1] = have[0]+k.Cores, have[1]+k.Memory
+		for i := len(m.deltas) - 1; i >= 0; i-- {
+			if d := &m.deltas[i]; d.at > m.viewAt-p.lag {
+				net[0], net[1] = net[0]+d.cores, net[1]+d.mem
+				squares[0], squares[1] = squares[0]+d.cores*d.cores, squares[1]+d.mem*d.mem
+			}
+		}
+	}
+	for r := range shares {
+		beyond := max(0, net[r]-2*math.Sqrt(squares[r]))
+		shares[r] = beyond * float64(p.s.FleetSize-1) / max(1, have[r])
+	}
+	return shares
+}
+
+// room is this placer's part of the room of all machines, in units, as far as it may
+// ask for it at once: a machine looks at one offer at a time.
+func (p *Placer) room() (units float64) {
+	if p.s.UnitCores <= 0 || p.s.UnitMemory <= 0 {
+		return math.Inf(1) // no size is told: nothing is kept from anybody
+	}
+	for _, m := range p.order {
+		if m.listed && m.State == Ready && m.kind >= 0 && p.s.HasView {
+			c, b := p.load(m)
+			bc, bm := p.bears(m)
+			free := min((bc-c)/p.s.UnitCores, (bm-b)/p.s.UnitMemory) / float64(p.s.FleetSize)
+			units += max(0, min(free, m.window-float64(len(m.unanswered))))
+		}
+	}
+	return units
+}
+
 // fleet returns the asked share of the fleet and its mean cores.
 func (p *Placer) fleet() (rho, cores float64) {
 	var have, n float64
--- a/test/storm/storm_test.go
+++ b/test/storm/storm_test.go
@@ -36,13 +36,23 @@
 }
 
 // bound is the time at which the last task of the crowd can have started, and the
-// relays that can be in time, if the fleet were one pool and all its room known:
-// relays first, then in the order of coming.
+// share of relays that can be in time, if the fleet were one pool whose room is all
+// known, and looked at offers and started tasks as fast as its machines do: relays
+// first, then in the order of coming.
 func bound(js []*job, nodes int) (last time.Duration, relays float64) {
-	var cores, memory float64
-	for _, s := range machineSpecs(fleet{nodes: nodes}) {
+	const step = 10 * ms
+	var cores, memory, asks, slots float64
+	for i, s := range machineSpecs(fleet{nodes: nodes}) {
 		cores, memory = cores+s.Cores, memory+s.Memory
+		asks += float64(step) / float64((s.Ask[0]+s.Ask[1])/2)
+		if pace := 1.0; i < nodes/7 {
+			slots += s.ColdShare * float64(s.Starts)
+		} else {
+			slots += pace * float64(s.Starts)
+		}
 	}
+	var busy []time.Duration // until when each slot starts something
+	busy = make([]time.Duration, int(slots))
 	type end struct {
 		at time.Duration
 		j  *job
@@ -51,7 +61,9 @@
 	queue := slices.SortedFunc(slices.Values(js), func(a, b *job) int { return int(a.at - b.at) })
 	var waiting []*job
 	var n, good int
-	for now, i := queue[0].at, 0; i < len(queue) || len(waiting) > 0; now += 10 * ms {
+	tokens := 0.0
+	for now, i := queue[0].at, 0; i < len(queue) || len(waiting) > 0; now += step {
+		tokens = min(tokens+asks, float64(nodes))
 		for ; i < len(queue) && queue[i].at <= now; i++ {
 			waiting = append(waiting, queue[i])
 		}
@@ -64,14 +76,22 @@
 		})
 		slices.SortStableFunc(waiting, func(a, b *job) int { return b.rank() - a.rank() })
 		waiting = slices.DeleteFunc(waiting, func(j *job) bool {
-			if j.Cores > cores || j.Memory > memory {
+			if j.Cores > cores || j.Memory > memory || tokens < 1 {
 				return false
 			}
+			tokens--
+			slot := 0
+			for k := range busy {
+				if busy[k] < busy[slot] {
+					slot = k
+				}
+			}
+			busy[slot] = max(now, busy[slot]) + j.Work
 			cores, memory = cores-j.Cores, memory-j.Memory
-			ends = append(ends, end{now + j.Work + j.Life, j})
+			ends = append(ends, end{busy[slot] + j.Life, j})
 			if j.crowd {
 				last = max(last, now)
-				if j.Class == "live-relay" && now-j.at+j.Work <= j.class.aim {
+				if j.Class == "live-relay" && busy[slot]-j.at <= j.class.aim {
 					good++
 				}
 			}
@@ -269,16 +289,42 @@
 	}
 	r.watch.mu.Lock()
 	f.doubleStarts = r.watch.double
-	accepts := 0
+	accepts, copies := 0, 0
 	for _, n := range r.watch.accepts {
 		accepts += n
+		copies += n - 1
 	}
 	r.watch.mu.Unlock()
-	refused := 0
+	refused, notes := 0, map[string]int{}
 	for _, m := range r.machines {
-		peak, n := m.Peak()
+		peak, by := m.Peak()
 		f.coldPeak = max(f.coldPeak, peak)
-		refused += n
+		for note, n := range by {
+			refused += n
+			notes[note] += n
+		}
+	}
+	t.Logf("offers refused: %v; %d copies", notes, copies)
+	for _, at := range []time.Duration{200 * ms, 400 * ms, 600 * ms, 800 * ms, 1000 * ms, 2 * time.Second} {
+		by := map[string]int{}
+		for _, res := range results {
+			if !res.gaveUp && res.started.Sub(o.begin) <= at {
+				by[res.Class]++
+			}
+		}
+		t.Logf("started by %s: %v", at, by)
+	}
+	for _, c := range classes {
+		var took []float64
+		for _, res := range results {
+			if res.class.name == c.name && !res.gaveUp {
+				took = append(took, res.started.Sub(res.first).Seconds())
+			}
+		}
+		slices.Sort(took)
+		if n := len(took); n > 0 {
+			t.Logf("%s: %d started, after %.2f s (median), %.2f s (95 of 100), %.2f s (last)", c.name, n, took[n/2], took[n*95/100], took[n-1])
+		}
 	}
 	f.offersPerStart = float64(accepts+refused) / float64(max(1, accepts))
 	var advice time.Duration
