--- a/internal/storm/keep.go
+++ b/internal/storm/keep.go
@@ -1,5 +1,7 @@
 package storm
 
+import "slices"
+
 // This file owns the forecast of a crowd under way: what room the higher ranks will
 // want in the next moment, so that the lower ones do not take it just before. Outside
 // of a crowd it forecasts nothing, and what fits beside the forecast is kept from
@@ -16,6 +18,8 @@
 	// eachMost is how many set-ups of one source count in a bucket: hundreds at once from
 	// one are no crowd.
 	eachMost = 2
+	// sourcesLeast is from how many sources set-ups must come in a bucket to be a crowd.
+	sourcesLeast = 10
 )
 
 // forecast is what arrived of each class in the last buckets.
@@ -24,7 +28,8 @@
 	all   [keepBuckets]float64 // set-ups
 	head  int64
 	keep  []float64
-	from  [cells]uint8 // set-ups of this bucket, by source
+	from  [cells]uint8       // set-ups of this bucket, by source
+	many  [keepBuckets]int32 // sources, by bucket
 }
 
 func newForecast(classes int) forecast {
@@ -37,7 +42,7 @@
 		for i := range f.units {
 			f.units[i] = [keepBuckets]float64{}
 		}
-		f.all, f.from, f.head = [keepBuckets]float64{}, [cells]uint8{}, b
+		f.all, f.from, f.many, f.head = [keepBuckets]float64{}, [cells]uint8{}, [keepBuckets]int32{}, b
 		return
 	}
 	for f.head < b {
@@ -46,6 +51,7 @@
 			f.units[i][f.head%keepBuckets] = 0
 		}
 		f.all[f.head%keepBuckets] = 0
+		f.many[f.head%keepBuckets] = 0
 		f.from = [cells]uint8{}
 	}
 }
@@ -56,7 +62,11 @@
 		if *n >= eachMost {
 			return
 		}
-		*n++
+		if *n++; *n == 1 {
+			f.many[f.head%keepBuckets]++
+		}
+	} else {
+		f.many[f.head%keepBuckets]++
 	}
 	f.units[class][f.head%keepBuckets] += units
 	f.all[f.head%keepBuckets]++
@@ -81,7 +91,7 @@
 	f := &s.keep
 	f.advance(now)
 	clear(f.keep)
-	if f.rate(&f.all) <= max(s.watch.usual*risesAt, s.watch.usual+crowdLeast)+crowdLeast {
+	if slices.Max(f.many[:]) < sourcesLeast || f.rate(&f.all) <= max(s.watch.usual*risesAt, s.watch.usual+crowdLeast)+crowdLeast {
 		return f.keep
 	}
 	for i := range f.keep {
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -380,6 +380,9 @@
 	for i := range 300 {
 		st.Asked(now, Caller{Key: uint64(2000 + i), Class: 1, Units: 1, From: 5})
 	}
+	for i := range 300 { // and from a few
+		st.Asked(now, Caller{Key: uint64(3000 + i), Class: 1, Units: 1, From: uint64(6 + i%5)})
+	}
 	for range 10 {
 		now += second / 50
 		if k := st.Keep(now); k[0] != 0 {
