--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -138,6 +138,9 @@
 		default:
 			from := i
 			for i < len(line) && line[i] != ' ' && line[i] != '\t' && line[i] != '#' {
+				if line[i] == '"' {
+					return nil, &Error{File: file, Line: n, Column: i + 1, Want: "a space before an opening quote", Got: line[i:]}
+				}
 				i++
 			}
 			out = append(out, Word{line[from:i], file, n, from + 1})
