Test a proved place in line, and drop a pause of the stand-in that nothing used

Reading the change again: no test failed without the place that a ticket proves being kept through a further refusal, and no test used the stand-in machine's pause.

--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -194,12 +194,8 @@
 			m.mu.Unlock()
 			continue
 		}
-		paused := m.paused
 		d := m.Ask[0] + time.Duration(m.rng.Int64N(int64(m.Ask[1]-m.Ask[0])+1))
 		m.mu.Unlock()
-		if paused != nil {
-			<-paused
-		}
 		select {
 		case <-time.After(d):
 		case <-m.stop:
@@ -300,22 +296,6 @@
 	}
 }
 
-// Pause stops it from looking at offers for a while.
-func (m *Machine) Pause(d time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.paused == nil {
-		p := make(chan struct{})
-		m.paused = p
-		time.AfterFunc(d, func() {
-			m.mu.Lock()
-			m.paused = nil
-			m.mu.Unlock()
-			close(p)
-		})
-	}
-}
-
 // Room is what nobody has asked for.
 func (m *Machine) Room() (cores, memory float64) {
 	m.mu.Lock()
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -499,3 +499,21 @@
 		st.Refused(now, c)
 	}
 }
+
+// A caller that nobody here has heard of stands in line since when it proves, and
+// keeps that when it is refused again; one that claims the future gains nothing.
+func TestProvedPlace(t *testing.T) {
+	st, now := saturated(settings(), 50, 300)
+	since := now - 4*second
+	c := Caller{Key: 9, Units: 1, WaitUs: 6 * second, SinceUs: since}
+	if at := st.Asked(now, c); at != since {
+		t.Errorf("it stands in line since %d us later than it proves", at-since)
+	}
+	st.Refused(now, c)
+	if at := st.Asked(now+second, Caller{Key: 9, Units: 1}); at > since+tickUs {
+		t.Errorf("refused again, it stands in line since %d us later", at-since)
+	}
+	if at := st.Asked(now, Caller{Key: 10, Units: 1, SinceUs: now + second}); at != now {
+		t.Errorf("claiming the future it stands in line %d us from now", at-now)
+	}
+}
