--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -56,14 +56,13 @@
 		return nil
 	})
 	flag.Parse()
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(*path, log); err != nil {
+	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenhitch:", err)
 		os.Exit(1)
 	}
 }
 
-func run(edgePath string, log *slog.Logger) error {
+func run(edgePath string) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	if path == "" {
 		return errors.New("ROUTER_CONFIG is not set")
@@ -82,6 +81,7 @@
 	if err != nil {
 		return err
 	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: edge.LogLevel}))
 	runtime.GOMAXPROCS(1)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(cfg.MemoryMB << 20 * 6 / 10)
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"net/netip"
 	"os"
@@ -25,6 +26,9 @@
 	Graphite          Metrics
 	Collectd          Metrics
 	Storm             Storm
+	// LogLevel is the least level that is written: info, or debug for a line at
+	// each step of every request, which costs time on a busy day.
+	LogLevel slog.Level
 }
 
 // Metrics says where figures go, and how often.
@@ -107,6 +111,15 @@
 		},
 		"graphite": metrics(&e.Graphite, "address:port", address),
 		"collectd": metrics(&e.Collectd, "the absolute path of a Unix socket", absolute),
+		"log": {
+			"level": func(d conf.Directive) error {
+				v, err := d.OneOf("info", "debug")
+				if v == "debug" {
+					e.LogLevel = slog.LevelDebug
+				}
+				return err
+			},
+		},
 		"storm": {
 			"advice": func(d conf.Directive) error {
 				if len(d.Args) > 0 && d.Args[0].Text == "booked" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -337,6 +337,7 @@
 	}
 	c.counts.Requests++
 	c.to(r, waiting)
+	c.trace("request", r, "wait", s.WaitUs, "deadline", r.deadline)
 	r.SinceUs = c.advisor.Asked(now, r.caller())
 	task.SinceUs = r.SinceUs
 	c.event(ravenhitch.Request{Task: task})
@@ -385,6 +386,7 @@
 // answer tells the owner, and keeps the last word on what may be asked again.
 func (c *Core) answer(r *request, a Answer) {
 	a.Tag = r.reply
+	c.trace("answer", r, "kind", a.Kind, "reply", a.Tag)
 	c.spread.answered++
 	if a.Kind != Started {
 		c.remember(r, a)
@@ -507,6 +509,7 @@
 	}
 	r.mayRun = true
 	c.to(r, standing)
+	c.trace("started", r)
 	c.counts.Started++
 	c.advisor.Started(now, r.caller())
 	c.disarm(r)
@@ -524,6 +527,7 @@
 	if r == nil || r.node != node {
 		return
 	}
+	c.trace("node ended", r, "status", st)
 	switch r.state {
 	case out:
 		switch st {
@@ -703,6 +707,7 @@
 	c.disarm(r)
 	switch r.state {
 	case out:
+		c.trace("attempt timed out", r, "abandon", r.abandon)
 		// The node is told before anything else may go out for this request.
 		c.nodes.GiveUp(r.node, r.Tag)
 		c.ended(r, ravenhitch.TimedOut, ravenhitch.WhyUntold)
@@ -807,6 +812,7 @@
 		guard = "the node drains"
 	}
 	if guard != "" {
+		c.trace("offer held back", r, "to", a.Machine, "why", guard)
 		c.counts.Guarded++
 		c.log.Error("the module's offer was held back", "tag", r.Tag, "node", a.Machine, "why", guard)
 		c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: r.attempts, Machine: a.Machine, Status: ravenhitch.Moot})
@@ -822,6 +828,7 @@
 		r.abandon = min(r.deadline, max(a.AbandonAtUs, c.now+1))
 	}
 	c.arm(r, r.abandon)
+	c.trace("offer", r, "abandon", r.abandon, "deadline", r.deadline)
 	c.nodes.Offer(a.Machine, Offer{Tag: r.Tag, Class: r.Class, Key: r.Key, WaitUs: r.abandon - c.now,
 		Description: r.Description})
 }
@@ -849,6 +856,7 @@
 // withdraw gives up an attempt that is still out at the end of its request.
 func (c *Core) withdraw(r *request) {
 	if r.state == out {
+		c.trace("given up", r)
 		c.nodes.GiveUp(r.node, r.Tag)
 		c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
 	}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -20,6 +20,9 @@
 	Name   string
 	Starts chan Line // set-ups, in order; without a Machine only
 	Ends   chan Line // releases; the same
+	// Cut are the set-ups whose connection closed before a release or an
+	// answer came: closing a connection gives up what is open on it.
+	Cut    chan Line
 	ln     net.Listener
 	mach   *Machine
 	mu     sync.Mutex
@@ -40,7 +43,7 @@
 		t.Fatal(err)
 	}
 	m := &Minion{Name: name, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
-		conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
+		Cut: make(chan Line, 1000), conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
 	m.came = sync.NewCond(&m.mu)
 	go func() {
 		for {
@@ -110,10 +113,14 @@
 }
 
 func (m *Minion) serve(c net.Conn) {
+	open := map[string]Line{} // set-ups on this connection without a release
 	defer func() {
 		m.mu.Lock()
 		delete(m.conns, c)
 		m.mu.Unlock()
+		for _, l := range open {
+			m.Cut <- l
+		}
 	}()
 	r := bufio.NewScanner(c)
 	for r.Scan() {
@@ -121,6 +128,12 @@
 		if json.Unmarshal(r.Bytes(), &l) != nil {
 			return
 		}
+		switch l.Verb {
+		case "START":
+			open[l.Tag] = l
+		case "FINISH":
+			delete(open, l.Tag)
+		}
 		switch {
 		case l.Verb == "START" && m.mach != nil:
 			m.mach.offered(c, l)
