--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -150,9 +150,11 @@
 		p.l.Unread(max(unreadLeast, int(cfg.MemoryMB<<20)/4/budget))
 	}
 	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, log)
+	p.nodes.Trace(edge.Trace)
 	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, log); err != nil {
 		return nil, err
 	}
+	p.c.Trace(edge.Trace)
 	p.nodes.Use(p.c)
 	if edge.Storm.Constant > 0 {
 		p.c.Advise(core.Constant(edge.Storm.Constant))
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"path/filepath"
 	"reflect"
 	"strings"
@@ -114,7 +115,7 @@
 func TestEdge(t *testing.T) {
 	standard := Edge{Graphite: Metrics{Prefix: "ravenhitch", EveryMs: 10_000}, Collectd: Metrics{Prefix: "ravenhitch", EveryMs: 10_000}}
 	for _, path := range []string{filepath.Join("..", "..", "deploy", "ravenhitch.conf"), filepath.Join(t.TempDir(), "none.conf")} {
-		if e, err := LoadEdge(path); err != nil || e != standard {
+		if e, err := LoadEdge(path); err != nil || !reflect.DeepEqual(e, standard) {
 			t.Errorf("%s: %+v, %v", path, e, err)
 		}
 	}
@@ -129,6 +130,8 @@
 		{"listen 127.0.0.1:1", "x:1:1: expected a section"},
 		{"[grcp]", "x:1:2: expected a section of collectd, graphite, grpc, log, storm"},
 		{"[log]\nlevel loud", "x:2:7: expected info or debug"},
+		{"[log]\ntrace", "x:2:1: expected trace followed by endings of tags, in hex digits"},
+		{"[log]\ntrace 42ac8bZ6", "x:2:7: expected an ending of a tag: 1 to 16 hex digits in lower case"},
 		{"[grpc]\nport 1", "x:2:1: expected in [grpc] one of cert, key, listen, tickets"},
 		{"[grpc]\nlisten here", "x:2:8: expected address:port"},
 		{"[grpc]\nlisten", "x:2:1: expected listen followed by address:port"},
@@ -156,3 +159,11 @@
 		t.Errorf("edge.json: %v", err)
 	}
 }
+
+// The log's level and the endings of traced tags are read as written.
+func TestEdgeLog(t *testing.T) {
+	e, err := ParseEdge("x", []byte("[log]\nlevel debug\ntrace 42ac8ba6 160bf556\n"))
+	if err != nil || e.LogLevel != slog.LevelDebug || !reflect.DeepEqual(e.Trace, []string{"42ac8ba6", "160bf556"}) {
+		t.Errorf("got %+v, %v", e, err)
+	}
+}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -29,6 +29,9 @@
 	// LogLevel is the least level that is written: info, or debug for a line at
 	// each step of every request, which costs time on a busy day.
 	LogLevel slog.Level
+	// Trace limits the debug lines of requests to tags that end in one of these
+	// endings (hex digits); none: every request.
+	Trace []string
 }
 
 // Metrics says where figures go, and how often.
@@ -119,6 +122,18 @@
 				}
 				return err
 			},
+			"trace": func(d conf.Directive) error {
+				if len(d.Args) == 0 {
+					return d.Name.Wrong("trace followed by endings of tags, in hex digits")
+				}
+				for _, a := range d.Args {
+					if a.Text == "" || len(a.Text) > 16 || strings.Trim(a.Text, "0123456789abcdef") != "" {
+						return a.Wrong("an ending of a tag: 1 to 16 hex digits in lower case")
+					}
+					e.Trace = append(e.Trace, a.Text)
+				}
+				return nil
+			},
 		},
 		"storm": {
 			"advice": func(d conf.Directive) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,6 +230,7 @@
 	spread  spread
 	sweepAt int64
 	counts  Counts
+	endings []string // of the tags that are traced
 }
 
 // New returns a core that decides with a new module.
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -60,6 +60,7 @@
 	core    *core.Core
 	log     *Limited
 	raw     *slog.Logger // for the trace of requests
+	endings []string     // of the tags that are traced
 	dialUs  int64
 	links   map[string]*link
 	pending []func() // outcomes found while the core was acting
@@ -70,6 +71,9 @@
 	return &Nodes{l: l, dialUs: dialUs, log: NewLimited(log), raw: log, links: map[string]*link{}}
 }
 
+// Trace limits the trace to the tags that end in one of the endings; none traces all.
+func (n *Nodes) Trace(endings []string) { n.endings = endings }
+
 // Use names the core that is told of outcomes.
 func (n *Nodes) Use(c *core.Core) {
 	n.core = c
@@ -589,7 +593,7 @@
 
 // trace writes one step of a request at debug level.
 func (n *Nodes) trace(step, tag string, args ...any) {
-	if n.raw != nil && n.raw.Enabled(context.Background(), slog.LevelDebug) {
+	if n.raw != nil && n.raw.Enabled(context.Background(), slog.LevelDebug) && core.Traced(n.endings, tag) {
 		n.raw.Debug(step, append([]any{"tag", tag, "at", n.l.Now()}, args...)...)
 	}
 }
