Bound the stand-in minion's record of cut set-ups, and say what it holds

Cause: reading the change again: the stand-in's Cut channel was sent to without a bound kept, so a test that never reads it would hold a connection's goroutine for ever after 1,000 set-ups; its comment said unanswered set-ups, while answered ones that were not released are kept too. Change: Cut holds cutMost; beyond that a set-up is dropped, not waited for. The comment says what it holds. No test is loosened.

--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -12,6 +12,9 @@
 
 // This file owns the stand-in minion's sockets and what it says by script.
 
+// cutMost bounds the set-ups kept as cut by a close.
+const cutMost = 1000
+
 // Minion is a stand-in node. Without a Machine, what it says to a set-up follows
 // from the task's name: ok-, full-, error-, silent- or reset-; what it spoils at the
 // first set-up of a task it does well at the next: half-, bare-, twice- (a copy and a
@@ -20,8 +23,9 @@
 	Name   string
 	Starts chan Line // set-ups, in order; without a Machine only
 	Ends   chan Line // releases; the same
-	// Cut are the set-ups whose connection closed before a release or an
-	// answer came: closing a connection gives up what is open on it.
+	// Cut are the set-ups whose connection closed before the orchestrator
+	// released them, answered or not: closing a connection gives up what is open
+	// on it. It holds cutMost; what comes beyond is not kept.
 	Cut    chan Line
 	ln     net.Listener
 	mach   *Machine
@@ -43,7 +47,7 @@
 		t.Fatal(err)
 	}
 	m := &Minion{Name: name, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
-		Cut: make(chan Line, 1000), conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
+		Cut: make(chan Line, cutMost), conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
 	m.came = sync.NewCond(&m.mu)
 	go func() {
 		for {
@@ -119,7 +123,10 @@
 		delete(m.conns, c)
 		m.mu.Unlock()
 		for _, l := range open {
-			m.Cut <- l
+			select {
+			case m.Cut <- l:
+			default: // nobody reads them: a full channel must not hold the connection's end
+			}
 		}
 	}()
 	r := bufio.NewScanner(c)
