Share one tracer between the core and the links to minions

Cause: reading the change again: the core and the links each wrote their own check of the level and the endings and their own line, the same code twice. Change: core.Tracer writes a step of a tag at debug level; the core and Nodes hold one each. TestTracerStep checks what is written at which level and tag.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -230,7 +230,7 @@
 	spread  spread
 	sweepAt int64
 	counts  Counts
-	endings []string // of the tags that are traced
+	tracer  Tracer
 }
 
 // New returns a core that decides with a new module.
@@ -242,7 +242,8 @@
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
 		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
-		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes))}
+		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
+		tracer: Tracer{Log: log}}
 	for i, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
 		c.classes[k.Name] = i
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -11,15 +11,24 @@
 	"strings"
 )
 
-// Trace limits the trace to the tags that end in one of the given endings; none
-// traces every request.
-func (c *Core) Trace(endings []string) { c.endings = endings }
+// Tracer writes the steps of requests at debug level, of the tags that it traces.
+// The core and the links to nodes share it, so that one grep follows a request.
+type Tracer struct {
+	Log     *slog.Logger
+	Endings []string // of the tags that are traced; none: all
+}
 
-// traced reports whether the steps of a tag are written.
-func (c *Core) traced(tag string) bool {
-	return c.log != nil && c.log.Enabled(context.Background(), slog.LevelDebug) && Traced(c.endings, tag)
+// Step writes one step of the request of a tag, at a time in microseconds.
+func (t Tracer) Step(step, tag string, at int64, args ...any) {
+	if t.Log != nil && t.Log.Enabled(context.Background(), slog.LevelDebug) && Traced(t.Endings, tag) {
+		t.Log.Debug(step, append([]any{"tag", tag, "at", at}, args...)...)
+	}
 }
 
+// Trace limits the trace to the tags that end in one of the given endings; none
+// traces every request.
+func (c *Core) Trace(endings []string) { c.tracer.Endings = endings }
+
 // Traced reports whether a tag ends in one of the endings, or there are none.
 func Traced(endings []string, tag string) bool {
 	for _, e := range endings {
@@ -32,10 +41,7 @@
 
 // trace writes one step of a request.
 func (c *Core) trace(step string, r *request, args ...any) {
-	if !c.traced(r.Tag) {
-		return
-	}
-	c.log.Debug(step, append([]any{"tag", r.Tag, "at", c.now, "state", r.state, "node", r.node, "copy", r.copy}, args...)...)
+	c.tracer.Step(step, r.Tag, c.now, append([]any{"state", r.state, "node", r.node, "copy", r.copy}, args...)...)
 }
 
 var stateNames = [...]string{"fresh", "waiting", "out", "standing", "leaving", "gone"}
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -1,6 +1,11 @@
 package core
 
-import "testing"
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
 
 // Only tags with one of the endings are traced; without endings, all are.
 func TestTraced(t *testing.T) {
@@ -20,3 +25,24 @@
 		}
 	}
 }
+
+// A step is written at debug level for a traced tag, and at no other level or tag.
+func TestTracerStep(t *testing.T) {
+	for _, x := range []struct {
+		level   slog.Level
+		endings []string
+		want    bool
+	}{
+		{slog.LevelDebug, nil, true},
+		{slog.LevelDebug, []string{"160bf556"}, true},
+		{slog.LevelDebug, []string{"42ac8ba6"}, false},
+		{slog.LevelInfo, nil, false},
+	} {
+		var b bytes.Buffer
+		tr := Tracer{Log: slog.New(slog.NewTextHandler(&b, &slog.HandlerOptions{Level: x.level})), Endings: x.endings}
+		tr.Step("offer", "6c74d45b160bf556", 42, "node", "s-1")
+		if got := strings.Contains(b.String(), "msg=offer tag=6c74d45b160bf556 at=42 node=s-1"); got != x.want {
+			t.Errorf("%v %v: wrote %q", x.level, x.endings, b.String())
+		}
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -59,8 +58,7 @@
 	l       *loop.Loop
 	core    *core.Core
 	log     *Limited
-	raw     *slog.Logger // for the trace of requests
-	endings []string     // of the tags that are traced
+	tracer  core.Tracer
 	dialUs  int64
 	links   map[string]*link
 	pending []func() // outcomes found while the core was acting
@@ -68,11 +66,11 @@
 
 // NewNodes returns the links, of which there are none yet. Use sets the core.
 func NewNodes(l *loop.Loop, dialUs int64, log *slog.Logger) *Nodes {
-	return &Nodes{l: l, dialUs: dialUs, log: NewLimited(log), raw: log, links: map[string]*link{}}
+	return &Nodes{l: l, dialUs: dialUs, log: NewLimited(log), tracer: core.Tracer{Log: log}, links: map[string]*link{}}
 }
 
 // Trace limits the trace to the tags that end in one of the endings; none traces all.
-func (n *Nodes) Trace(endings []string) { n.endings = endings }
+func (n *Nodes) Trace(endings []string) { n.tracer.Endings = endings }
 
 // Use names the core that is told of outcomes.
 func (n *Nodes) Use(c *core.Core) {
@@ -592,8 +590,4 @@
 var nan = math.NaN()
 
 // trace writes one step of a request at debug level.
-func (n *Nodes) trace(step, tag string, args ...any) {
-	if n.raw != nil && n.raw.Enabled(context.Background(), slog.LevelDebug) && core.Traced(n.endings, tag) {
-		n.raw.Debug(step, append([]any{"tag", tag, "at", n.l.Now()}, args...)...)
-	}
-}
+func (n *Nodes) trace(step, tag string, args ...any) { n.tracer.Step(step, tag, n.l.Now(), args...) }
