Hold the next attempt until the last one's give-up is proved at its minion

A close is handed to the system at once, and so is a written give-up (Conn.Push). Behind a written give-up goes a test; the core offers elsewhere only once that is answered or the connection is aborted (0.1 s of silence). An abort takes back what still lies in the connection, so that a set-up offered into a cut does not arrive when it heals; releases of tasks that stand go out again until they are heard of.

--- /dev/null
+++ b/cmd/ravenhitch/giveup_test.go
@@ -0,0 +1,222 @@
+package main
+
+// This file plays what ends an attempt, or a task, while the way to its minion fails.
+// One rig: minions behind links, notes of what is out where.
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/standin"
+)
+
+// field is a world whose minions are reached by links.
+type field struct {
+	*world
+	*standin.Owner
+	links    map[string]*standin.Link
+	attempts *standin.Attempts
+	tags     int
+	got      map[string]string // first words to owners, by tag
+}
+
+func newField(t *testing.T, minions ...string) *field {
+	f := &field{links: map[string]*standin.Link{}, attempts: standin.NewAttempts(), got: map[string]string{}}
+	f.world = newWorldBy(t, config.Edge{}, 1024, func(m *standin.Minion) {
+		m.Attempts = f.attempts
+		f.links[m.Name] = standin.NewLink(t, m)
+	}, minions...)
+	f.Owner = f.world.owner(t)
+	// Quick answers, so that later attempts are given up early and many are out at a time.
+	f.answered(t, f.ask("ok", 1, 5000)) // from then on the owner may have many set-ups open
+	f.allTaken(t, f.ask("ok", 16*len(minions), 5000))
+	return f
+}
+
+// said lets every minion say something once half of the offers came.
+func (f *field) said(t *testing.T, tags []string) {
+	t.Helper()
+	f.soon(t, "half of the offers", func() bool { return 2*f.open() >= len(tags) })
+	for _, m := range f.minions {
+		m.Note()
+	}
+	f.on(t, func() {}) // a turn, and another: what was said is read
+	f.on(t, func() {})
+}
+
+// open is how many attempts are out that do not stand.
+func (f *field) open() (n int) {
+	for at := range f.links {
+		out, stands := f.attempts.Out(at)
+		n += out - stands
+	}
+	return n
+}
+
+// ask sends so many set-ups of small tasks at once. It returns their tags.
+func (f *field) ask(kind string, n, leftMs int) (tags []string) {
+	for range n {
+		f.tags++
+		tag := standin.Tag(f.tags)
+		l := standin.SetUp(tag, "guide-web", fmt.Sprintf("%s-%d", kind, f.tags), leftMs)
+		l.Opts["extras"] = "cores:0.05;memory:0.1;service:00000000b4d65521"
+		standin.Send(f, l)
+		tags = append(tags, tag)
+	}
+	return tags
+}
+
+// answered waits for the answers to all tags, and returns how many were a yes.
+func (f *field) answered(t *testing.T, tags []string) (yes int) {
+	t.Helper()
+	for _, tag := range tags {
+		for f.got[tag] == "" {
+			f.take(t)
+		}
+		if f.got[tag] == "STARTED" {
+			yes++
+		}
+	}
+	return yes
+}
+
+// allTaken waits for the answers, which must all be a yes.
+func (f *field) allTaken(t *testing.T, tags []string) {
+	t.Helper()
+	if yes := f.answered(t, tags); yes != len(tags) {
+		t.Errorf("%d of %d were taken", yes, len(tags))
+	}
+}
+
+// take notes the next word to the owner. Until it comes the minions keep talking.
+func (f *field) take(t *testing.T) (l standin.Line) {
+	t.Helper()
+	for limit := time.After(standin.Patience); ; {
+		select {
+		case l := <-f.Lines:
+			if f.got[l.Tag] == "" {
+				f.got[l.Tag] = l.Verb
+			}
+			return l
+		case <-time.After(20 * time.Millisecond):
+			for _, m := range f.minions {
+				m.Note()
+			}
+		case <-limit:
+			t.Fatal("an owner waits in vain")
+		}
+	}
+}
+
+// soon waits until something holds.
+func (f *field) soon(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(standin.Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%s: never came", what)
+		}
+	}
+}
+
+// back offers tasks until one stands at a minion beyond those that do.
+func (f *field) back(t *testing.T, minion string) {
+	t.Helper()
+	_, before := f.attempts.Out(minion)
+	f.soon(t, "a task at "+minion, func() bool {
+		f.answered(t, f.ask("ok", 4, 5000))
+		_, now := f.attempts.Out(minion)
+		return now > before
+	})
+}
+
+// One attempt of a request is out at a time, at minions, and what ends while a way
+// fails is told once it is there again.
+func TestFailingWays(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		minions []string
+		play    func(t *testing.T, f *field)
+	}{
+		// A give-up is on its way for longer than the next offer to another minion: that
+		// must wait until the give-up was read.
+		{"many given up at once, half of the minions far away", strings.Fields("a b c d e f g h i j k l"), func(t *testing.T, f *field) {
+			for _, m := range f.minions[:6] {
+				f.links[m.Name].Delay(30 * time.Millisecond)
+			}
+			missed := f.ask("missed", 60, 2000) // five a minion
+			f.said(t, missed)
+			f.allTaken(t, missed)
+		}},
+		// Give-ups that follow while the test behind the first is on its way are proved too.
+		{"given up one by one, all minions far away", []string{"a", "b"}, func(t *testing.T, f *field) {
+			for _, l := range f.links {
+				l.Delay(80 * time.Millisecond)
+			}
+			var missed []string
+			for range 6 {
+				missed = append(missed, f.ask("missed", 1, 2000)...)
+				time.Sleep(20 * time.Millisecond)
+			}
+			f.allTaken(t, missed)
+		}},
+		// The way is cut after the minion's last word: the give-up never arrives.
+		{"cut between the last word and the give-up", []string{"a", "b"}, func(t *testing.T, f *field) {
+			missed := f.ask("missed", 4, 2000)
+			f.said(t, missed)
+			f.links["a"].Cut(t)
+			f.allTaken(t, missed)
+		}},
+		// What was offered into a cut must not arrive when that heals: it stands elsewhere.
+		{"offered into a cut that heals", []string{"a", "b"}, func(t *testing.T, f *field) {
+			f.links["a"].Cut(t)
+			f.allTaken(t, f.ask("ok", 40, 5000))
+			f.links["a"].Heal(t)
+			f.back(t, "a")
+		}},
+		// An owner withdraws what is open at a minion that is cut off since its last word,
+		// and may come again elsewhere: the attempt must not stay out for long.
+		{"withdrawn into a cut", []string{"a", "b"}, func(t *testing.T, f *field) {
+			silent := f.ask("silent", 4, 60_000)
+			f.said(t, silent)
+			f.links["a"].Cut(t)
+			for _, tag := range silent {
+				standin.Send(f, standin.Finish("FINISH", tag, 16))
+			}
+			f.soon(t, "no attempt out", func() bool { return f.open() == 0 })
+		}},
+		// A release goes out again where the connection that it was written to is gone.
+		{"released into a cut that heals", []string{"a", "b"}, func(t *testing.T, f *field) {
+			tag := f.attempts.Standing("a")
+			f.links["a"].Cut(t)
+			standin.Send(f, standin.Finish("FINISH", tag, 16))
+			f.answered(t, f.ask("ok", 40, 5000)) // the end of some takes back what lies in the cut
+			f.links["a"].Heal(t)
+			for standin.Wait(t, "the release", f.minions[0].Ends).Tag != tag {
+			}
+		}},
+		// The minion believes in a connection that was closed during a cut: it tells an
+		// end there and on the next connection opened, which there must be, although the
+		// one that is there is busy.
+		{"ended on a connection that is gone", []string{"a", "b"}, func(t *testing.T, f *field) {
+			tag := f.attempts.Standing("a")
+			f.links["a"].Cut(t)
+			f.answered(t, f.ask("ok", 40, 5000))
+			f.links["a"].Heal(t)
+			f.back(t, "a")
+			f.minions[0].Tell(tag, 16)
+			for l := f.take(t); l.Tag != tag || l.Verb != "FINISH"; l = f.take(t) {
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newField(t, c.minions...)
+			c.play(t, f)
+			if copies := f.attempts.Copies(); len(copies) > 0 {
+				t.Errorf("%d copies, as %s", len(copies), copies[0])
+			}
+		})
+	}
+}
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -52,10 +52,16 @@
 }
 
 func newWorldOf(t *testing.T, edge config.Edge, sockets int64, names ...string) *world {
+	return newWorldBy(t, edge, sockets, func(*standin.Minion) {}, names...)
+}
+
+// newWorldBy hands every minion to by before anything connects to it.
+func newWorldBy(t *testing.T, edge config.Edge, sockets int64, by func(*standin.Minion), names ...string) *world {
 	w := &world{feed: standin.NewFeed(t), over: make(chan error, 1)}
 	var members []string
 	for _, n := range names {
 		m := standin.NewMinion(t, n)
+		by(m)
 		w.minions = append(w.minions, m)
 		members = append(members, m.Member("up"))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,8 +153,10 @@
 // NodeEnded, NodeNote and NodeSampled, never from within these calls.
 type Nodes interface {
 	Offer(node string, o Offer)
-	// GiveUp withdraws an offer that was not answered.
-	GiveUp(node, tag string)
+	// GiveUp withdraws an offer that was not answered, ahead of whatever is offered
+	// after it. It reports whether the attempt is over for sure; where it is not,
+	// NodeGaveUp tells when it is.
+	GiveUp(node, tag string) (sure bool)
 	// Release ends a task that stands.
 	Release(node, tag string)
 	Probe(node string)
@@ -166,6 +168,7 @@
 	fresh    state = iota // not in the table yet
 	waiting               // no attempt is out
 	out                   // an attempt is out
+	ending                // the attempt was given up, and may still be out
 	standing              // the node has said yes
 	leaving               // released or moved; the node's word is awaited
 	gone                  // its owner gave it up
@@ -186,14 +189,18 @@
 	sentAt   int64
 	abandon  int64
 	node     string
-	mayRun   bool   // an attempt may have started
-	reply    string // the tag that the owner knows it by
-	binding  string // what the node gave
+	mayRun   bool              // an attempt may have started
+	endAs    ravenhitch.Status // ending: what becomes of the attempt
+	reply    string            // the tag that the owner knows it by
+	binding  string            // what the node gave
 	lostAt   int64
 	due      int64 // when the core itself acts, or 0
 	index    int   // in the heap
 }
 
+// open reports whether its owner is owed an answer.
+func (r *request) open() bool { return r.state == waiting || r.state == out || r.state == ending }
+
 // Counts are what the core has seen so far.
 type Counts struct {
 	Requests, Started, Refused, Failed, Over, Moved, Withdrawn, Opened, Resumed int64
@@ -257,7 +264,7 @@
 // Open is how many requests are owed an answer.
 func (c *Core) Open() (n int) {
 	for _, r := range c.reqs {
-		if r.state == waiting || r.state == out {
+		if r.open() {
 			n++
 		}
 	}
@@ -462,11 +469,11 @@
 func (c *Core) Refuse(now int64, o Owner, tag string) {
 	c.now = now
 	r := c.find(tag)
-	if r == nil || r.owner != o || r.state != waiting && r.state != out {
+	if r == nil || r.owner != o || !r.open() {
 		return
 	}
 	c.event(ravenhitch.ClientGone{Ticket: r.Tag})
-	r.mayRun = r.mayRun || r.state == out
+	r.mayRun = r.mayRun || r.state != waiting
 	c.finish(r)
 }
 
@@ -480,7 +487,7 @@
 		return NotFound
 	}
 	switch r.state {
-	case waiting, out:
+	case waiting, out, ending:
 		c.counts.Withdrawn++
 		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
 		c.advisor.Left(now, r.caller())
@@ -547,6 +554,30 @@
 	}
 }
 
+// NodeGaveUp takes it that an attempt that was given up is over for sure: the node has
+// read the give-up, or its connection is closed.
+func (c *Core) NodeGaveUp(now int64, node, tag string) {
+	c.now = now
+	if r := c.reqs[tag]; r != nil && r.node == node && r.state == ending {
+		c.trace("given up for sure", r)
+		c.ended(r, r.endAs, ravenhitch.WhyUntold)
+	}
+}
+
+// giveUp ends the attempt that is out. The node is told before anything else may go
+// out for this request, and the module hears of the end, and may offer elsewhere, only
+// once the attempt is over for sure: a give-up that is still on its way, or lies in a
+// connection that fell silent, ends nothing. The answer does not wait for that.
+func (c *Core) giveUp(r *request, st ravenhitch.Status) {
+	if sure := c.nodes.GiveUp(r.node, r.Tag); sure || c.now >= r.deadline {
+		c.ended(r, st, ravenhitch.WhyUntold)
+		return
+	}
+	c.to(r, ending)
+	r.endAs, r.mayRun = st, true
+	c.arm(r, r.deadline)
+}
+
 // ended is the end of an attempt that was not answered with yes.
 func (c *Core) ended(r *request, st ravenhitch.Status, why ravenhitch.Why) {
 	switch st {
@@ -605,12 +636,22 @@
 	c.event(ravenhitch.Reached{Machine: node})
 }
 
-// Held is how many tasks stand at each node, or are being ended there.
-func (c *Core) Held() map[string]int {
-	held := map[string]int{}
+// Holding is what stands at a node, or is being ended there.
+type Holding struct {
+	Tasks int
+	Since int64 // when the oldest was offered, 0 for one that was handed in as standing
+}
+
+// Held is what stands at each node.
+func (c *Core) Held() map[string]Holding {
+	held := map[string]Holding{}
 	for _, r := range c.reqs {
 		if r.state == standing || r.state == leaving {
-			held[r.node]++
+			h, ok := held[r.node]
+			if h.Tasks++; !ok || r.sentAt < h.Since {
+				h.Since = r.sentAt
+			}
+			held[r.node] = h
 		}
 	}
 	return held
@@ -708,11 +749,13 @@
 func (c *Core) expire(r *request) {
 	c.disarm(r)
 	switch r.state {
-	case out:
-		c.trace("attempt timed out", r, "abandon", r.abandon)
-		// The node is told before anything else may go out for this request.
-		c.nodes.GiveUp(r.node, r.Tag)
-		c.ended(r, ravenhitch.TimedOut, ravenhitch.WhyUntold)
+	case out, ending:
+		if r.state == out {
+			c.trace("attempt timed out", r, "abandon", r.abandon)
+			c.giveUp(r, ravenhitch.TimedOut)
+		} else {
+			c.ended(r, r.endAs, ravenhitch.WhyUntold)
+		}
 		if c.now >= r.deadline {
 			// The module answers within this turn; else the next turn does.
 			c.arm(r, c.now+1)
@@ -763,11 +806,11 @@
 			c.place(r, a)
 		}
 	case ravenhitch.Deny:
-		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
+		if r := c.reqs[a.Ticket]; r != nil && r.open() {
 			c.finish(r)
 		}
 	case ravenhitch.Error:
-		if r := c.reqs[a.Ticket]; r != nil && (r.state == waiting || r.state == out) {
+		if r := c.reqs[a.Ticket]; r != nil && r.open() {
 			r.mayRun = true
 			c.fail(r)
 		}
@@ -781,8 +824,7 @@
 		}
 	case ravenhitch.Cancel:
 		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.copy {
-			c.nodes.GiveUp(r.node, r.Tag)
-			c.ended(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
+			c.giveUp(r, ravenhitch.Cancelled)
 		}
 	case ravenhitch.AskLoad:
 		c.nodes.Probe(a.Machine)
@@ -857,10 +899,13 @@
 
 // withdraw gives up an attempt that is still out at the end of its request.
 func (c *Core) withdraw(r *request) {
-	if r.state == out {
+	switch r.state {
+	case out:
 		c.trace("given up", r)
 		c.nodes.GiveUp(r.node, r.Tag)
 		c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
+	case ending:
+		c.done(r, r.endAs, ravenhitch.WhyUntold, true)
 	}
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -52,11 +53,14 @@
 	offers   []string
 	told     []Answer
 	gaveUp   int
+	doubt    bool              // what is given up from now on is over only once proved
+	unproved map[string]string // given up and not proved to be over, by tag: the node
 }
 
 func newBench(t interface{ Fatalf(string, ...any) }) *bench {
 	b := &bench{t: t, now: 1_000_000 * ms, out: map[string]string{}, stands: map[string]string{}, final: map[string]AnswerKind{},
-		mayRun: map[string]bool{}, deadline: map[string]int64{}, drained: map[string]int64{}, class: map[string]string{}}
+		mayRun: map[string]bool{}, deadline: map[string]int64{}, drained: map[string]int64{}, class: map[string]string{},
+		unproved: map[string]string{}}
 	c, err := New(settings(), 7, b, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatalf("%v", err)
@@ -84,13 +88,27 @@
 	b.offers = append(b.offers, o.Tag+"@"+node)
 }
 
-func (b *bench) GiveUp(node, tag string) {
-	if b.out[tag] != node {
+func (b *bench) GiveUp(node, tag string) (sure bool) {
+	if b.out[tag] != node || b.unproved[tag] != "" {
 		b.t.Fatalf("%s: an attempt given up at %s is not there", tag, node)
 	}
-	delete(b.out, tag)
 	b.mayRun[tag] = true
 	b.gaveUp++
+	if b.doubt {
+		b.unproved[tag] = node
+		return false
+	}
+	delete(b.out, tag)
+	return true
+}
+
+// proved tells that an attempt that was given up is over.
+func (b *bench) proved(tag string) {
+	if node := b.unproved[tag]; node != "" {
+		delete(b.unproved, tag)
+		delete(b.out, tag)
+		b.NodeGaveUp(b.now, node, tag)
+	}
 }
 
 func (b *bench) Release(node, tag string) {}
@@ -191,7 +209,11 @@
 			if len(tags) > 0 {
 				tag = rapid.SampledFrom(tags).Draw(t, "tag")
 			}
-			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			what := rapid.IntRange(0, 9).Draw(t, "what")
+			if b.unproved[tag] != "" && (what == 3 || what == 4) {
+				what = 8 // a minion says nothing of what it was told to give up
+			}
+			switch what {
 			case 0, 1, 2:
 				tag := fmt.Sprintf("%016x", len(tags)+1)
 				tags = append(tags, tag)
@@ -219,6 +241,10 @@
 				b.list(ravenhitch.ListDelta, state, node)
 			case 7:
 				b.NodeStarted(b.now, rapid.SampledFrom(nodes).Draw(t, "stray"), "nobody's", "")
+			case 8:
+				b.proved(tag)
+			case 9:
+				b.doubt = !b.doubt
 			}
 			b.pass(rapid.Int64Range(0, 1500).Draw(t, "ms") * ms)
 		}
@@ -254,6 +280,51 @@
 	}
 }
 
+// An attempt that was given up and may still be out holds back the next one, and
+// nothing else: not the answer at its owner's time, nor its owner's withdrawal.
+func TestUnprovedGiveUp(t *testing.T) {
+	b := newBench(t)
+	b.list(ravenhitch.ListFull, ravenhitch.Ready, "a", "b")
+	b.submit("t0", "web", "k0", 5000)
+	b.pass(10 * ms)
+	b.started("t0") // a quick answer, so that later ones are given up early
+	b.doubt = true
+	for _, tag := range []string{"t1", "t2", "t3"} {
+		b.submit(tag, "web", "k"+tag, 2000)
+	}
+	b.pass(1000 * ms) // no second offer of any, or the bench fails
+	if n := len(b.offers); n != 4 || len(b.unproved) != 3 || b.Open() != 3 {
+		t.Fatalf("offers %v, given up %v, open %d", b.offers, b.unproved, b.Open())
+	}
+	node := b.unproved["t1"]
+	b.NodeGaveUp(b.now, "c", "t1") // another's word proves nothing
+	b.pass(0)
+	b.proved("t1")
+	b.pass(0)
+	if n := len(b.offers); n != 5 || b.offers[4] == "t1@"+node {
+		t.Errorf("after the proof: offers %v", b.offers)
+	}
+	b.proved("t1")
+	if b.Withdraw(b.now, b, "t2") != WasOpen {
+		t.Error("t2 could not be withdrawn")
+	}
+	if !slices.ContainsFunc(b.events, func(e ravenhitch.Event) bool {
+		d, ok := e.(ravenhitch.Done)
+		return ok && d.Ticket == "t2"
+	}) {
+		t.Errorf("the module does not hear of the end of t2's attempt: %v", b.events)
+	}
+	b.proved("t2")
+	b.pass(2000 * ms)
+	if k, ok := b.final["t3"]; !ok || k != Refused || b.Open() != 0 {
+		t.Errorf("t3 got %v, %d open", k, b.Open())
+	}
+	b.proved("t3")
+	if b.pass(2000 * ms); len(b.offers) > 6 {
+		t.Errorf("offers after the end: %v", b.offers)
+	}
+}
+
 // Tasks that stand end when their node has died, or has left the list for long.
 func TestLostNodes(t *testing.T) {
 	b := newBench(t)
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -44,7 +44,7 @@
 	c.tracer.Step(step, r.Tag, c.now, append([]any{"state", r.state, "node", r.node, "copy", r.copy}, args...)...)
 }
 
-var stateNames = [...]string{"fresh", "waiting", "out", "standing", "leaving", "gone"}
+var stateNames = [...]string{"fresh", "waiting", "out", "ending", "standing", "leaving", "gone"}
 
 func (s state) String() string {
 	if int(s) < len(stateNames) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,6 +3,10 @@
 // touch what it owns, except through [Loop.Post]. It knows no protocol and must
 // never block: not on a socket, not on another goroutine. A descriptor is given
 // back in one place only, [Loop.reap].
+//
+// What a user writes goes out at the end of the turn, in the order of connections.
+// What must be out before anything else of the turn is handed to the system at
+// once: by [Conn.Push], and by a close, which is not put off either.
 package loop
 
 import (
@@ -113,6 +117,7 @@
 // Loop is one epoll loop.
 type Loop struct {
 	ep, wake  int
+	telling   bool // events are being told: a number given back now could be taken for its old owner
 	conns     map[int]*Conn
 	listeners map[int]*listener
 	dead      []*Conn
@@ -412,6 +417,17 @@
 	}
 }
 
+// Push hands what was written so far to the system now, ahead of what other
+// connections have to write in this turn. It reports whether the system took all of
+// it; an error is told to the Handler at the end of the turn.
+func (c *Conn) Push() bool {
+	if c.closed || !c.up {
+		return false
+	}
+	err := c.flush()
+	return err == nil && len(c.out) == 0
+}
+
 // Close ends the connection; its Handler is not told.
 func (c *Conn) Close() {
 	if c.closed {
@@ -421,6 +437,18 @@
 	c.drop()
 }
 
+// Abort ends the connection with a reset, and its Handler is not told. What the other
+// side has not taken yet is thrown away on both sides: after a plain close the system
+// would go on trying to deliver it, and a set-up would arrive long after its time.
+func (c *Conn) Abort() {
+	if c.closed {
+		return
+	}
+	// A system that refuses this closes plainly, which still ends the connection.
+	_ = unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	c.drop()
+}
+
 func (c *Conn) drop() {
 	if c.closed {
 		return
@@ -428,6 +456,9 @@
 	c.closed = true
 	c.dial.Stop()
 	c.l.dead = append(c.l.dead, c)
+	if !c.l.telling {
+		c.l.reap()
+	}
 }
 
 func (c *Conn) fail(err error) {
@@ -439,8 +470,10 @@
 	c.l.again = true
 }
 
-// reap gives descriptors back. It runs after all events of a turn were told,
-// so that a number in use again is not taken for the old connection.
+// reap gives descriptors back, which closes the connections: at once where the loop
+// is not telling of events, so that a close is out before anything that is written
+// after it; else as soon as all were told, so that a number in use again is not taken
+// for the old connection.
 func (l *Loop) reap() {
 	for _, c := range l.dead {
 		delete(l.conns, c.fd)
@@ -583,6 +616,7 @@
 			l.toldAt, l.askedAt = l.askedAt, l.now
 			l.polls++
 		}
+		l.telling = true
 		for _, e := range events[:max(0, n)] {
 			fd := int(e.Fd)
 			switch {
@@ -597,6 +631,8 @@
 				}
 			}
 		}
+		l.telling = false
+		l.reap()
 		l.mu.Lock()
 		posted := l.posted
 		l.posted = nil
@@ -607,7 +643,6 @@
 		l.due()
 		turn(l.now)
 		l.flushAll()
-		l.reap()
 		l.took = l.clock() - l.now
 	}
 	return nil
@@ -653,6 +688,7 @@
 // Close gives everything back.
 func (l *Loop) Close() {
 	l.CloseListeners()
+	l.telling = true // the map is being walked
 	for _, c := range l.conns {
 		c.drop()
 	}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -299,3 +299,75 @@
 		t.Error(err)
 	}
 }
+
+// three dials three connections to a listener of the test's own; it returns both ends.
+func three(t *testing.T, l *Loop, on func(func())) (near [3]*Conn, far [3]net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	for i := range near {
+		h := newEcho()
+		on(func() {
+			if near[i], err = l.Dial(ln.Addr().String(), 10_000_000, h); err != nil {
+				t.Error(err)
+			}
+		})
+		wait(t, "the connection", h.opened)
+		if far[i], err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { far[i].Close() })
+	}
+	return near, far
+}
+
+// What is pushed or closed amid a turn is out before that turn's ordinary writes,
+// though those were asked for first.
+func TestAheadOfTheTurn(t *testing.T) {
+	l, on := run(t, 10)
+	near, far := three(t, l, on)
+	on(func() {
+		near[0].Write([]byte("last"))
+		near[1].Write([]byte("first"))
+		if !near[1].Push() {
+			t.Error("the system did not take five bytes")
+		}
+		near[2].Close()
+		b := make([]byte, 10)
+		for i, want := range []string{"", "first", ""} {
+			far[i].SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			n, err := far[i].Read(b)
+			if string(b[:n]) != want || (i == 2) != errors.Is(err, io.EOF) {
+				t.Errorf("connection %d, amid the turn: %q, %v", i, b[:n], err)
+			}
+		}
+		if l.Free() != 10-2 {
+			t.Errorf("%d descriptors are free after a close", l.Free())
+		}
+		far[0].SetReadDeadline(time.Time{})
+	})
+	if n, err := far[0].Read(make([]byte, 10)); n != 4 {
+		t.Errorf("after the turn: %d bytes, %v", n, err)
+	}
+}
+
+// An abort takes back what the other side has not got, and says so.
+func TestAbort(t *testing.T) {
+	l, on := run(t, 10)
+	near, far := three(t, l, on)
+	const most = 64 << 20
+	on(func() {
+		l.Unread(most)
+		near[0].Write(make([]byte, most))
+		if near[0].Push() {
+			t.Error("the system took more than it can hold")
+		}
+		near[0].Abort()
+		near[0].Abort()
+	})
+	if n, err := io.Copy(io.Discard, far[0]); !errors.Is(err, unix.ECONNRESET) || n >= most {
+		t.Errorf("%d bytes, then %v", n, err)
+	}
+}
--- /dev/null
+++ b/internal/platform/ear.go
@@ -0,0 +1,45 @@
+package platform
+
+// This file owns the connections that are opened only to hear of ends. A minion tells
+// the end of a task on the connection of its set-up while it believes in that, and on
+// the next one opened. Where such a connection was closed here, or died, and the minion
+// does not know, the end comes only on one that is opened after it. An ear carries no
+// offer, so that its own end loses nothing, and must never take one.
+
+import (
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
+)
+
+const (
+	// earEvery is how often such a connection is opened: an end not told for 8 s is lost.
+	earEvery = quietMost
+	// earLife is how long one is kept for what the minion has to say.
+	earLife = 500_000
+	// earRoom is how many descriptors must be free: offers and owners come first.
+	earRoom = 32
+)
+
+type ear struct{ nodeConn }
+
+// listen opens an ear where tasks stand whose set-up came by a connection that is
+// gone, unless another connection was opened in time.
+func (k *link) listen(held core.Holding, now int64) {
+	if held.Tasks == 0 || held.Since >= k.goneAt || now-k.openedAt < earEvery || k.n.l.Free() < earRoom {
+		return
+	}
+	if n := len(k.conns); n == 0 || !k.conns[n-1].c.Up() {
+		return // the next one that comes up is such a connection
+	}
+	k.openedAt = now // also where it fails: not in every sweep
+	e := &ear{nodeConn{k: k, probes: map[string]int64{}}}
+	if c, err := k.n.l.Dial(k.addr, k.n.dialUs, e); err == nil {
+		e.c = c
+	}
+}
+
+// Opened implements loop.Handler.
+func (e *ear) Opened(c *loop.Conn) { e.k.n.l.After(earLife, c.Close) }
+
+// Closed implements loop.Handler. That it did not come up says nothing: offers tell.
+func (e *ear) Closed(*loop.Conn, error) { e.half.Stop() }
--- /dev/null
+++ b/internal/platform/giveup.go
@@ -0,0 +1,178 @@
+package platform
+
+// This file owns how an attempt ends that a minion has not answered: what is written
+// or closed for it, and the proof that the minion is rid of it. It must never take a
+// give-up that was only written for one that was read, and never leave on the way what
+// could reach a minion after the attempt is over.
+//
+// A give-up that is written may never arrive: the connection can be cut off since the
+// minion's last word. So a test is written behind it. The answer to that proves that
+// the minion has read the give-up; where it does not come, the connection is aborted,
+// which gives up all that is open on it and takes back what still lies in it.
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
+)
+
+// sureMost is how long nothing at all may come in on a connection after a give-up was
+// written there, the test's answer included: a test waits behind what the minion is at,
+// and it may take three of its slowest looks at an offer, of 34 ms each. Where other
+// messages come, a test may take as long as a connection may take to come up.
+const sureMost = 100_000
+
+var errSilent = errors.New("nothing came in since an offer that was given up")
+
+// endings are the give-ups written on a connection and not proved to be read.
+type endings struct {
+	test  string   // the tag of the test that is out, "" for none
+	at    int64    // when it was written
+	tags  []string // given up before the test was written
+	next  []string // given up since: for the next test
+	timer *loop.Timer
+}
+
+func (e *endings) any() bool { return e.test != "" }
+
+// GiveUp implements core.Nodes.
+func (n *Nodes) GiveUp(node, tag string) (sure bool) {
+	k := n.links[node]
+	if k == nil {
+		return true
+	}
+	sure = true
+	for _, nc := range slices.Clone(k.conns) {
+		s := nc.open[tag]
+		if s == nil {
+			continue
+		}
+		delete(nc.open, tag)
+		n.trace("give up on the wire", tag, "node", node, "left", s.left(nc.c), "written", s.end > 0, "quiet_us", n.l.Now()-nc.readAt)
+		switch {
+		case s.end == 0: // it never left
+		case nc.readAt >= s.at && nc.giveUp(tag):
+			sure = false
+		default:
+			nc.end(errSilent)
+		}
+	}
+	k.prune()
+	k.ensure() // the ends of tasks that stand there come on the next connection
+	return sure
+}
+
+// giveUp writes a give-up, ahead of all that is written after it on any connection.
+// It reports whether the system took it.
+func (nc *nodeConn) giveUp(tag string) bool {
+	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
+	if nc.ends.any() {
+		nc.ends.next = append(nc.ends.next, tag)
+	} else {
+		nc.prove([]string{tag})
+	}
+	return nc.c.Push()
+}
+
+// prove writes a test behind give-ups. One is out at a time: tests cost the minion work.
+func (nc *nodeConn) prove(tags []string) {
+	now := nc.k.n.l.Now()
+	nc.ends.test, nc.ends.at, nc.ends.tags, nc.ends.next = fmt.Sprintf("%016x", now), now, tags, nil
+	nc.send(&Message{Verb: verbEcho, Tag: nc.ends.test, HasRC: true})
+	nc.ends.timer = nc.k.n.l.After(sureMost, nc.unproved)
+}
+
+// unproved is the time at which the test should have been answered.
+func (nc *nodeConn) unproved() {
+	e, k, now := &nc.ends, nc.k, nc.k.n.l.Now()
+	if nc.readAt > e.at && now < e.at+k.n.dialUs {
+		e.timer = k.n.l.After(sureMost, nc.unproved)
+		return
+	}
+	k.n.log.Warn("a give-up was not read in time", "node", k.id, "quiet_us", now-nc.readAt)
+	nc.end(errSilent)
+	k.prune()
+	k.ensure()
+}
+
+// proved takes the answer to the test: what was given up before it is over.
+func (nc *nodeConn) proved() {
+	at, tags, next := nc.ends.at, nc.ends.tags, nc.ends.next
+	nc.ends.timer.Stop()
+	nc.ends = endings{}
+	if len(next) > 0 {
+		nc.prove(next)
+		nc.c.Push()
+	}
+	for _, tag := range tags {
+		nc.k.n.trace("give-up read", tag, "node", nc.k.id, "test_us", nc.k.n.l.Now()-at)
+		nc.k.n.core.NodeGaveUp(nc.k.n.l.Now(), nc.k.id, tag)
+	}
+	nc.k.prune()
+}
+
+// settle tells the core of the give-ups that the end of the connection has carried out.
+func (nc *nodeConn) settle() {
+	k := nc.k
+	nc.ends.timer.Stop()
+	for _, tag := range slices.Concat(nc.ends.tags, nc.ends.next) {
+		k.n.later(func() { k.n.core.NodeGaveUp(k.n.l.Now(), k.id, tag) })
+	}
+	nc.ends = endings{}
+}
+
+// end closes the connection from this side and tells what was open on it. Where a
+// set-up may lie in it still, what the minion has not taken is thrown away.
+func (nc *nodeConn) end(err error) {
+	if errors.Is(err, errSilent) {
+		nc.k.failed = true
+	}
+	if len(nc.open) > 0 || nc.ends.any() || errors.Is(err, errSilent) {
+		nc.c.Abort()
+	} else {
+		nc.c.Close()
+	}
+	nc.lost(err)
+}
+
+// unheardMost bounds the releases of one minion that wait for its word, and
+// unheardFor how long they do: the longest cut that connections outlive.
+const (
+	unheardMost = 1024
+	unheardFor  = 60_000_000
+)
+
+// Release implements core.Nodes. The minion's word that a task has ended is what shows
+// that a release was heard; till then it goes out again on each new connection.
+func (n *Nodes) Release(node, tag string) {
+	k := n.links[node]
+	if k == nil {
+		return
+	}
+	if k.unheard == nil {
+		k.unheard = map[string]int64{}
+	}
+	if len(k.unheard) < unheardMost {
+		k.unheard[tag] = n.l.Now()
+	}
+	if nc := k.usable(); nc != nil && nc.c.Up() { // else it goes out once one is
+		nc.release(tag)
+	}
+}
+
+func (nc *nodeConn) release(tag string) {
+	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
+}
+
+// releaseAgain writes on a new connection what was not heard on those before.
+func (nc *nodeConn) releaseAgain() {
+	for _, tag := range slices.Sorted(maps.Keys(nc.k.unheard)) {
+		nc.release(tag)
+	}
+}
+
+var _ core.Nodes = (*Nodes)(nil)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -48,10 +48,7 @@
 	triesMost = 3
 )
 
-var (
-	errHalf   = fmt.Errorf("%w: it stops short", ErrMessage)
-	errSilent = errors.New("nothing came in since an offer that was given up")
-)
+var errHalf = fmt.Errorf("%w: it stops short", ErrMessage)
 
 // Nodes is the core's way to the minions.
 type Nodes struct {
@@ -86,12 +83,14 @@
 	held, now := n.core.Held(), n.l.Now()
 	for _, id := range slices.Sorted(maps.Keys(n.links)) {
 		k := n.links[id]
-		if len(k.conns) == 0 || len(k.conns) >= strayMost || !k.listed && held[id] == 0 {
+		maps.DeleteFunc(k.unheard, func(_ string, at int64) bool { return now-at > unheardFor })
+		if len(k.conns) == 0 || len(k.conns) >= strayMost || held[id].Tasks == 0 {
 			continue
 		}
-		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && held[id] > 0 && now-nc.readAt > quietMost {
+		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > quietMost {
 			k.dial()
 		}
+		k.listen(held[id], now)
 	}
 	n.l.After(sweepNodes, n.sweep)
 }
@@ -124,6 +123,10 @@
 	redial *loop.Timer
 	broke  bool // a connection was reset; a refused one now proves the death
 	failed bool // a connection failed or fell silent, and none came up since
+
+	unheard  map[string]int64 // releases of tasks that stand, and when they were first written
+	goneAt   int64            // when a connection that was up last ended
+	openedAt int64            // when one last came up, or an ear was opened
 }
 
 // nodeConn is one connection to a minion.
@@ -135,6 +138,8 @@
 	readAt int64
 	half   *loop.Timer // for the rest of half a message
 	probes map[string]int64
+	ends   endings
+	wasUp  bool
 }
 
 // sent is an offer without an answer.
@@ -222,47 +227,6 @@
 	s.end = nc.c.Taken()
 }
 
-// GiveUp implements core.Nodes. A give-up is written where the minion showed
-// life since the offer. Where nothing came in since, the give-up may never
-// arrive, and the attempt would stay out there while the next goes out
-// elsewhere: only the close of the connection gives it up for sure.
-func (n *Nodes) GiveUp(node, tag string) {
-	k := n.links[node]
-	if k == nil {
-		return
-	}
-	var silent []*nodeConn
-	for _, nc := range k.conns {
-		s := nc.open[tag]
-		if s == nil {
-			continue
-		}
-		delete(nc.open, tag)
-		n.trace("give up on the wire", tag, "node", node, "left", s.left(nc.c), "written", s.end > 0, "quiet_us", n.l.Now()-nc.readAt)
-		switch {
-		case s.end > 0 && nc.readAt < s.at:
-			silent = append(silent, nc)
-		case s.end > 0:
-			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
-		}
-	}
-	for _, nc := range silent {
-		k.failed = true
-		nc.end(errSilent)
-	}
-	k.prune()
-	k.ensure() // the ends of tasks that stand there come on the next connection
-}
-
-// Release implements core.Nodes.
-func (n *Nodes) Release(node, tag string) {
-	if k := n.links[node]; k != nil {
-		if nc := k.usable(); nc != nil {
-			nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
-		}
-	}
-}
-
 // Probe implements core.Nodes.
 func (n *Nodes) Probe(node string) {
 	k := n.links[node]
@@ -389,12 +353,6 @@
 	}
 }
 
-// end closes the connection from this side and tells what was open on it.
-func (nc *nodeConn) end(err error) {
-	nc.c.Close()
-	nc.lost(err)
-}
-
 // lost takes the connection off its link and settles what was open on it. What had
 // left this machine whole may have run. What had not never ran: where the
 // connection broke under it, it goes out on another at once, which is not the
@@ -402,6 +360,10 @@
 func (nc *nodeConn) lost(err error) {
 	k := nc.k
 	nc.half.Stop()
+	nc.settle()
+	if nc.wasUp {
+		k.goneAt = k.n.l.Now()
+	}
 	k.conns = slices.DeleteFunc(k.conns, func(o *nodeConn) bool { return o == nc })
 	var again []*sent
 	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
@@ -446,6 +408,7 @@
 // Opened implements loop.Handler.
 func (nc *nodeConn) Opened(*loop.Conn) {
 	nc.readAt = nc.k.n.l.Now()
+	nc.wasUp, nc.k.openedAt = true, nc.readAt
 	nc.k.wait, nc.k.broke = 0, false
 	if nc.k.failed {
 		nc.k.failed = false
@@ -455,6 +418,7 @@
 		nc.c.Write(b)
 	}
 	nc.early = nil
+	nc.releaseAgain()
 	waiting := slices.SortedFunc(maps.Values(nc.open), func(a, b *sent) int { return cmp.Compare(a.at, b.at) })
 	for _, s := range waiting {
 		nc.start(s)
@@ -541,6 +505,7 @@
 		}
 		// An offer is answered on its own connection. Anything else is the end of a task
 		// that stands, or a copy or a foreign answer, which must end no attempt.
+		delete(nc.k.unheard, m.Tag)
 		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
 			delete(nc.open, m.Tag)
 			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
@@ -553,7 +518,13 @@
 		if kind, ok := noteKinds[m.Opt("note")]; ok && (err == nil && v >= 0 && v < 1e9 || kind == ravenhitch.NoteRuns) {
 			n.core.NodeNote(now, id, m.Tag, kind, v)
 		}
+	case verbFinished:
+		delete(nc.k.unheard, m.Tag)
 	case verbEchoed:
+		if m.Tag == nc.ends.test && nc.ends.any() {
+			nc.proved()
+			return
+		}
 		st := ravenhitch.OK
 		if m.RC != 1 {
 			st = ravenhitch.Failed
--- /dev/null
+++ b/internal/standin/attempts.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+)
+
+// This file owns what is out where, as minions see it, for the rule that one attempt of
+// a request is out at a time: from the arrival of its set-up until its end is written,
+// its give-up is read, or the orchestrator closes its connection. A task that stands is
+// out until its end.
+
+// Attempts notes the attempts at all minions that share it. A nil one notes nothing.
+type Attempts struct {
+	mu     sync.Mutex
+	out    map[string]map[string]place // by tag and minion
+	shut   map[string]func() bool      // by connection: whether the orchestrator has closed it
+	tried  map[string]int              // set-ups by tag
+	copies []string
+}
+
+// place is how an attempt is out: by the connection of its set-up, or standing.
+type place struct {
+	conn   string
+	stands bool
+}
+
+// NewAttempts returns notes without an attempt.
+func NewAttempts() *Attempts {
+	return &Attempts{out: map[string]map[string]place{}, shut: map[string]func() bool{}, tried: map[string]int{}}
+}
+
+func (a *Attempts) offered(minion, conn, tag string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tried[tag]++
+	for at, p := range a.out[tag] {
+		if shut := a.shut[p.conn]; shut != nil && shut() {
+			continue // whoever reads the connection has not come to its end yet
+		}
+		a.copies = append(a.copies, fmt.Sprintf("%s came to %s while out at %s (stands there: %v)", tag, minion, at, p.stands))
+	}
+	if a.out[tag] == nil {
+		a.out[tag] = map[string]place{}
+	}
+	a.out[tag][minion] = place{conn: conn}
+}
+
+func (a *Attempts) stands(minion, tag string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.out[tag][minion] = place{stands: true}
+}
+
+func (a *Attempts) ended(minion, tag string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.out[tag], minion)
+}
+
+// opened takes a connection, named by the address that the minion knows it by, and a
+// way to ask whether the orchestrator has closed it.
+func (a *Attempts) opened(conn string, shut func() bool) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shut[conn] = shut
+}
+
+// closed takes the end of a connection on the orchestrator's side.
+func (a *Attempts) closed(conn string) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.shut, conn)
+	for _, at := range a.out {
+		for minion, p := range at {
+			if !p.stands && p.conn == conn {
+				delete(at, minion)
+			}
+		}
+	}
+}
+
+// Copies are the set-ups that came while another attempt of theirs was out.
+func (a *Attempts) Copies() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.copies)
+}
+
+// Tried is how many set-ups of a tag came.
+func (a *Attempts) Tried(tag string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tried[tag]
+}
+
+// Out is how many attempts are out at a minion, standing ones among them.
+func (a *Attempts) Out(minion string) (n, standing int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, at := range a.out {
+		if p, ok := at[minion]; ok {
+			n++
+			if p.stands {
+				standing++
+			}
+		}
+	}
+	return n, standing
+}
+
+// Standing is a tag that stands at a minion, "" where none does.
+func (a *Attempts) Standing(minion string) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for tag, at := range a.out {
+		if at[minion].stands {
+			return tag
+		}
+	}
+	return ""
+}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -16,7 +16,8 @@
 const cutMost = 1000
 
 // Minion is a stand-in node. Without a Machine, what it says to a set-up follows
-// from the task's name: ok-, full-, error-, silent- or reset-; what it spoils at the
+// from the task's name: ok-, full-, error-, silent- or reset-; missed- is silent at the
+// first attempt of a request and ok at those after, at whatever minion; what it spoils at the
 // first set-up of a task it does well at the next: half-, bare-, twice- (a copy and a
 // foreign answer). With one, the Machine answers.
 type Minion struct {
@@ -26,8 +27,13 @@
 	// Cut are the set-ups whose connection closed before the orchestrator
 	// released them, answered or not: closing a connection gives up what is open
 	// on it. It holds cutMost; what comes beyond is not kept.
-	Cut    chan Line
+	Cut chan Line
+	// Attempts notes what is out here, where it is set before the first connection.
+	Attempts *Attempts
+
 	ln     net.Listener
+	via    string              // where it is told to listen, "" where that is where it does
+	by     map[string]net.Conn // the connections of set-ups
 	mach   *Machine
 	mu     sync.Mutex
 	came   *sync.Cond // a connection came
@@ -47,7 +53,7 @@
 		t.Fatal(err)
 	}
 	m := &Minion{Name: name, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
-		Cut: make(chan Line, cutMost), conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
+		Cut: make(chan Line, cutMost), by: map[string]net.Conn{}, conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
 	m.came = sync.NewCond(&m.mu)
 	go func() {
 		for {
@@ -102,8 +108,29 @@
 	Send(c, l)
 }
 
-// Addr is where it listens.
-func (m *Minion) Addr() string { return m.ln.Addr().String() }
+// Addr is where it is reached.
+func (m *Minion) Addr() string {
+	if m.via != "" {
+		return m.via
+	}
+	return m.ln.Addr().String()
+}
+
+// Tell lets a task that stands come to its end as the protocol has it: told on the
+// connection of its set-up while that looks open here, else on any open one, and also
+// on the next one opened.
+func (m *Minion) Tell(tag string, rc int) {
+	m.Attempts.ended(m.Name, tag)
+	l := Finish("FINISH", tag, rc)
+	m.mu.Lock()
+	c := m.by[tag]
+	delete(m.held, tag)
+	m.mu.Unlock()
+	m.tell(c, l)
+	m.mu.Lock()
+	m.untold = append(m.untold, l)
+	m.mu.Unlock()
+}
 
 // Die closes it for good, with a reset for whoever is connected.
 func (m *Minion) Die() {
@@ -138,8 +165,15 @@
 		switch l.Verb {
 		case "START":
 			open[l.Tag] = l
+			if m.mach == nil {
+				m.mu.Lock()
+				m.by[l.Tag] = c
+				m.mu.Unlock()
+			}
+			m.Attempts.offered(m.Name, c.RemoteAddr().String(), l.Tag)
 		case "FINISH":
 			delete(open, l.Tag)
+			m.Attempts.ended(m.Name, l.Tag)
 		}
 		switch {
 		case l.Verb == "START" && m.mach != nil:
@@ -168,11 +202,18 @@
 	m.mu.Lock()
 	m.count[key]++
 	m.mu.Unlock()
-	switch kind, _, _ := strings.Cut(key, "-"); kind {
+	kind, _, _ := strings.Cut(key, "-")
+	if kind == "missed" {
+		if kind = "silent"; m.Attempts.Tried(l.Tag) > 1 {
+			kind = "ok"
+		}
+	}
+	switch kind {
 	case "ok":
 		m.mu.Lock()
 		m.held[l.Tag] = true
 		m.mu.Unlock()
+		m.Attempts.stands(m.Name, l.Tag)
 		blob := m.Name + " holds " + *l.Blob
 		Send(c, Line{Verb: "STARTED", Tag: l.Tag, Opts: map[string]string{}, Blob: &blob})
 	case "half", "bare", "twice":
@@ -184,10 +225,12 @@
 		good.Verb = "STARTED"
 		Send(c, good)
 	case "full":
+		m.Attempts.ended(m.Name, l.Tag)
 		full := Finish("FINISH", l.Tag, 34)
 		full.Opts["note"] = "busy"
 		Send(c, full)
 	case "error":
+		m.Attempts.ended(m.Name, l.Tag)
 		Send(c, Finish("FINISH", l.Tag, 47))
 	case "reset":
 		c.(*net.TCPConn).SetLinger(0)
@@ -237,6 +280,15 @@
 	}
 }
 
+// Note sends news of no task on every open connection: it is there.
+func (m *Minion) Note() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.conns {
+		Send(c, Line{Verb: "NOTICE", Tag: Tag(0), Opts: map[string]string{"note": "up", "value": "0"}})
+	}
+}
+
 // Counted is how many set-ups of a task came.
 func (m *Minion) Counted(key string) int {
 	m.mu.Lock()
