--- a/cmd/ravenhitch/giveup_test.go
+++ b/cmd/ravenhitch/giveup_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 // said lets every minion say something once half of the offers came.
 func (f *field) said(t *testing.T, tags []string) {
 	t.Helper()
-	f.soon(t, "half of the offers", func() bool { return 2*f.open() >= len(tags) })
+	f.soon(t, "half of the offers", func() bool { return 2*len(f.attempts.Open()) >= len(tags) })
 	for _, m := range f.minions {
 		m.Note()
 	}
@@ -47,15 +48,6 @@
 	f.on(t, func() {})
 }
 
-// open is how many attempts are out that do not stand.
-func (f *field) open() (n int) {
-	for at := range f.links {
-		out, stands := f.attempts.Out(at)
-		n += out - stands
-	}
-	return n
-}
-
 // ask sends so many set-ups of small tasks at once. It returns their tags.
 func (f *field) ask(kind string, n, leftMs int) (tags []string) {
 	for range n {
@@ -124,11 +116,10 @@
 // back offers tasks until one stands at a minion beyond those that do.
 func (f *field) back(t *testing.T, minion string) {
 	t.Helper()
-	_, before := f.attempts.Out(minion)
+	before := len(f.attempts.Standing(minion))
 	f.soon(t, "a task at "+minion, func() bool {
 		f.answered(t, f.ask("ok", 4, 5000))
-		_, now := f.attempts.Out(minion)
-		return now > before
+		return len(f.attempts.Standing(minion)) > before
 	})
 }
 
@@ -185,11 +176,29 @@
 			for _, tag := range silent {
 				standin.Send(f, standin.Finish("FINISH", tag, 16))
 			}
-			f.soon(t, "no attempt out", func() bool { return f.open() == 0 })
+			f.soon(t, "no attempt out", func() bool { return len(f.attempts.Open()) == 0 })
+		}},
+		// What is open at a minion that moves to another address is over at the old one
+		// before it is offered anywhere.
+		{"moved to another address", []string{"a", "b"}, func(t *testing.T, f *field) {
+			missed := f.ask("missed", 4, 3000)
+			f.said(t, missed)
+			next := standin.NewMinion(t, "a")
+			next.Attempts = f.attempts
+			f.feed.Add(false, next.Member("up"))
+			f.allTaken(t, missed)
+		}},
+		// At the end of the program, what is open is given up before its owners are told.
+		{"told to end, with a way cut", []string{"a", "b"}, func(t *testing.T, f *field) {
+			silent := f.ask("silent", 4, 60_000)
+			f.said(t, silent)
+			f.links["a"].Cut(t)
+			f.Stop()
+			f.answered(t, silent)
 		}},
 		// A release goes out again where the connection that it was written to is gone.
 		{"released into a cut that heals", []string{"a", "b"}, func(t *testing.T, f *field) {
-			tag := f.attempts.Standing("a")
+			tag := f.attempts.Standing("a")[0]
 			f.links["a"].Cut(t)
 			standin.Send(f, standin.Finish("FINISH", tag, 16))
 			f.answered(t, f.ask("ok", 40, 5000)) // the end of some takes back what lies in the cut
@@ -201,7 +210,7 @@
 		// end there and on the next connection opened, which there must be, although the
 		// one that is there is busy.
 		{"ended on a connection that is gone", []string{"a", "b"}, func(t *testing.T, f *field) {
-			tag := f.attempts.Standing("a")
+			tag := f.attempts.Standing("a")[0]
 			f.links["a"].Cut(t)
 			f.answered(t, f.ask("ok", 40, 5000))
 			f.links["a"].Heal(t)
@@ -214,6 +223,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newField(t, c.minions...)
 			c.play(t, f)
+			f.soon(t, "the end of all attempts whose owners were answered", func() bool {
+				return !slices.ContainsFunc(f.attempts.Open(), func(tag string) bool { return f.got[tag] == "FINISH" })
+			})
 			if copies := f.attempts.Copies(); len(copies) > 0 {
 				t.Errorf("%d copies, as %s", len(copies), copies[0])
 			}
--- a/internal/standin/attempts.go
+++ b/internal/standin/attempts.go
@@ -110,29 +110,28 @@
 	return a.tried[tag]
 }
 
-// Out is how many attempts are out at a minion, standing ones among them.
-func (a *Attempts) Out(minion string) (n, standing int) {
+// Open lists the tags with an attempt out that does not stand.
+func (a *Attempts) Open() (tags []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, at := range a.out {
-		if p, ok := at[minion]; ok {
-			n++
-			if p.stands {
-				standing++
+	for tag, at := range a.out {
+		for _, p := range at {
+			if !p.stands {
+				tags = append(tags, tag)
 			}
 		}
 	}
-	return n, standing
+	return tags
 }
 
-// Standing is a tag that stands at a minion, "" where none does.
-func (a *Attempts) Standing(minion string) string {
+// Standing lists the tags that stand at a minion.
+func (a *Attempts) Standing(minion string) (tags []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for tag, at := range a.out {
 		if at[minion].stands {
-			return tag
+			tags = append(tags, tag)
 		}
 	}
-	return ""
+	return tags
 }
