Offer elsewhere only once a close can have reached the minion that lost the attempt

Found by reading: GiveUp held an attempt for over as it aborted a connection on which nothing came since the offer, and lost held offers for reset as their connection ended, so the next offer left in the same turn. A close is on its way like any message: to a minion that is well but slow, or whose answer was lost, it arrives up to 0.4 ms after the next offer has reached one in a nearer hall (ways of 0.42 to 0.78 ms).

What a close gives up is over for the core once a message there and back can have been on its way: the least time in which a connection to that minion came up, from 2 ms (twice the way between halls) to 50 ms (the protocol's slack). The core waits in the state that it has for give-ups that are not proved; answers do not wait.

--- a/cmd/ravenhitch/giveup_test.go
+++ b/cmd/ravenhitch/giveup_test.go
@@ -4,9 +4,12 @@
 // One rig: minions behind links, notes of what is out where.
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,11 +25,55 @@
 	attempts *standin.Attempts
 	tags     int
 	got      map[string]string // first words to owners, by tag
+	early    *early
+}
+
+// early follows the program's own trace, and notes offers that left before a close that
+// gave up the attempt before can have reached its minion.
+type early struct {
+	slog.Handler
+	mu    sync.Mutex
+	gone  map[string]int64 // when an attempt was given up and not proved to be over, by tag
+	notes []string
+}
+
+func (*early) Enabled(context.Context, slog.Level) bool { return true }
+
+func (e *early) Handle(_ context.Context, r slog.Record) error {
+	tag, at, written := "", int64(0), true
+	r.Attrs(func(a slog.Attr) bool {
+		switch a.Key {
+		case "tag":
+			tag = a.Value.String()
+		case "at":
+			at = a.Value.Int64()
+		case "written":
+			written = a.Value.Bool()
+		}
+		return true
+	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch r.Message {
+	case "give up on the wire", "connection lost under an offer":
+		if written { // else it never left
+			e.gone[tag] = at
+		}
+	case "give-up read":
+		delete(e.gone, tag)
+	case "offer":
+		if gone, ok := e.gone[tag]; ok && at-gone < 2000 {
+			e.notes = append(e.notes, fmt.Sprintf("%s was offered %d us after its last attempt was closed", tag, at-gone))
+		}
+		delete(e.gone, tag)
+	}
+	return nil
 }
 
 func newField(t *testing.T, minions ...string) *field {
-	f := &field{links: map[string]*standin.Link{}, attempts: standin.NewAttempts(), got: map[string]string{}}
-	f.world = newWorldBy(t, config.Edge{}, 1024, func(m *standin.Minion) {
+	f := &field{links: map[string]*standin.Link{}, attempts: standin.NewAttempts(), got: map[string]string{},
+		early: &early{Handler: slog.DiscardHandler, gone: map[string]int64{}}}
+	f.world = newWorldBy(t, config.Edge{}, 1024, slog.New(f.early), func(m *standin.Minion) {
 		m.Attempts = f.attempts
 		f.links[m.Name] = standin.NewLink(t, m)
 	}, minions...)
@@ -226,6 +273,11 @@
 			f.soon(t, "the end of all attempts whose owners were answered", func() bool {
 				return !slices.ContainsFunc(f.attempts.Open(), func(tag string) bool { return f.got[tag] == "FINISH" })
 			})
+			f.early.mu.Lock()
+			defer f.early.mu.Unlock()
+			if len(f.early.notes) > 0 {
+				t.Errorf("%d offers too early, as %s", len(f.early.notes), f.early.notes[0])
+			}
 			if copies := f.attempts.Copies(); len(copies) > 0 {
 				t.Errorf("%d copies, as %s", len(copies), copies[0])
 			}
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -52,11 +52,11 @@
 }
 
 func newWorldOf(t *testing.T, edge config.Edge, sockets int64, names ...string) *world {
-	return newWorldBy(t, edge, sockets, func(*standin.Minion) {}, names...)
+	return newWorldBy(t, edge, sockets, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, names...)
 }
 
 // newWorldBy hands every minion to by before anything connects to it.
-func newWorldBy(t *testing.T, edge config.Edge, sockets int64, by func(*standin.Minion), names ...string) *world {
+func newWorldBy(t *testing.T, edge config.Edge, sockets int64, log *slog.Logger, by func(*standin.Minion), names ...string) *world {
 	w := &world{feed: standin.NewFeed(t), over: make(chan error, 1)}
 	var members []string
 	for _, n := range names {
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	cfg.Sockets = sockets
-	w.program, err = start(cfg, edge, slog.New(slog.DiscardHandler))
+	w.program, err = start(cfg, edge, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -544,6 +544,8 @@
 			st = ravenhitch.Reset
 		}
 		c.ended(r, st, why)
+	case ending:
+		c.ended(r, r.endAs, ravenhitch.WhyUntold)
 	case standing, leaving:
 		switch st {
 		case ravenhitch.OK, ravenhitch.Cancelled, ravenhitch.Reset:
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -289,11 +289,11 @@
 	b.pass(10 * ms)
 	b.started("t0") // a quick answer, so that later ones are given up early
 	b.doubt = true
-	for _, tag := range []string{"t1", "t2", "t3"} {
+	for _, tag := range []string{"t1", "t2", "t3", "t4"} {
 		b.submit(tag, "web", "k"+tag, 2000)
 	}
 	b.pass(1000 * ms) // no second offer of any, or the bench fails
-	if n := len(b.offers); n != 4 || len(b.unproved) != 3 || b.Open() != 3 {
+	if n := len(b.offers); n != 5 || len(b.unproved) != 4 || b.Open() != 4 {
 		t.Fatalf("offers %v, given up %v, open %d", b.offers, b.unproved, b.Open())
 	}
 	node := b.unproved["t1"]
@@ -301,9 +301,14 @@
 	b.pass(0)
 	b.proved("t1")
 	b.pass(0)
-	if n := len(b.offers); n != 5 || b.offers[4] == "t1@"+node {
+	if n := len(b.offers); n != 6 || b.offers[5] == "t1@"+node {
 		t.Errorf("after the proof: offers %v", b.offers)
 	}
+	delete(b.unproved, "t4")
+	b.ended("t4", ravenhitch.Reset) // its connection broke: a proof as well
+	if b.pass(0); len(b.offers) != 7 {
+		t.Errorf("after a reset: offers %v", b.offers)
+	}
 	b.proved("t1")
 	if b.Withdraw(b.now, b, "t2") != WasOpen {
 		t.Error("t2 could not be withdrawn")
@@ -320,7 +325,7 @@
 		t.Errorf("t3 got %v, %d open", k, b.Open())
 	}
 	b.proved("t3")
-	if b.pass(2000 * ms); len(b.offers) > 6 {
+	if b.pass(2000 * ms); len(b.offers) > 8 {
 		t.Errorf("offers after the end: %v", b.offers)
 	}
 }
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -16,6 +16,7 @@
 	"maps"
 	"slices"
 
+	"ravenhitch"
 	"ravenhitch/internal/core"
 	"ravenhitch/internal/loop"
 )
@@ -26,6 +27,16 @@
 // messages come, a test may take as long as a connection may take to come up.
 const sureMost = 100_000
 
+// A close is on its way to the minion for as long as a message is, and nothing tells
+// that it has come. So what a close gives up is over once a message there and back
+// could have been on its way: as long as a connection to that minion took to come up
+// at the least, 2 ms at the least (twice the way between halls, 0.78 ms), and not
+// longer than the slack that the protocol puts on every limit.
+const (
+	crossLeast = 2_000
+	crossMost  = 50_000
+)
+
 var errSilent = errors.New("nothing came in since an offer that was given up")
 
 // endings are the give-ups written on a connection and not proved to be read.
@@ -45,7 +56,7 @@
 	if k == nil {
 		return true
 	}
-	sure = true
+	sure = !k.fading[tag]
 	for _, nc := range slices.Clone(k.conns) {
 		s := nc.open[tag]
 		if s == nil {
@@ -59,6 +70,8 @@
 			sure = false
 		default:
 			nc.end(errSilent)
+			k.crossed(func() { n.core.NodeGaveUp(n.l.Now(), node, tag) })
+			sure = false
 		}
 	}
 	k.prune()
@@ -115,12 +128,30 @@
 	nc.k.prune()
 }
 
+// crossed calls f once a close that is written now has reached the minion.
+func (k *link) crossed(f func()) {
+	k.n.l.After(min(max(k.wayUs, crossLeast), crossMost), f)
+}
+
+// fade tells the core that an offer was reset with its connection, once the minion
+// knows of that too. Till then the attempt may be out.
+func (k *link) fade(tag string) {
+	if k.fading == nil {
+		k.fading = map[string]bool{}
+	}
+	k.fading[tag] = true
+	k.crossed(func() {
+		delete(k.fading, tag)
+		k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, ravenhitch.Reset, ravenhitch.WhyUntold)
+	})
+}
+
 // settle tells the core of the give-ups that the end of the connection has carried out.
 func (nc *nodeConn) settle() {
 	k := nc.k
 	nc.ends.timer.Stop()
 	for _, tag := range slices.Concat(nc.ends.tags, nc.ends.next) {
-		k.n.later(func() { k.n.core.NodeGaveUp(k.n.l.Now(), k.id, tag) })
+		k.crossed(func() { k.n.core.NodeGaveUp(k.n.l.Now(), k.id, tag) })
 	}
 	nc.ends = endings{}
 }
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -124,6 +124,8 @@
 	broke  bool // a connection was reset; a refused one now proves the death
 	failed bool // a connection failed or fell silent, and none came up since
 
+	fading   map[string]bool  // offers reset with their connection; the minion may not know yet
+	wayUs    int64            // the least that a connection took to come up, 0 while none has
 	unheard  map[string]int64 // releases of tasks that stand, and when they were first written
 	goneAt   int64            // when a connection that was up last ended
 	openedAt int64            // when one last came up, or an ear was opened
@@ -140,6 +142,7 @@
 	probes map[string]int64
 	ends   endings
 	wasUp  bool
+	dialAt int64
 }
 
 // sent is an offer without an answer.
@@ -290,7 +293,7 @@
 	if len(k.conns) >= strayMost {
 		k.conns[0].end(loop.ErrBudget)
 	}
-	nc := &nodeConn{k: k, open: map[string]*sent{}, probes: map[string]int64{}}
+	nc := &nodeConn{k: k, open: map[string]*sent{}, probes: map[string]int64{}, dialAt: k.n.l.Now()}
 	c, err := k.n.l.Dial(k.addr, k.n.dialUs, nc)
 	if err != nil {
 		k.n.log.Warn("no connection could be started", "node", k.id, "err", err)
@@ -368,17 +371,20 @@
 	var again []*sent
 	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
 		s := nc.open[tag]
-		st := ravenhitch.ConnectFailed
 		switch {
 		case s.left(nc.c):
-			st = ravenhitch.Reset
+			k.n.trace("connection lost under an offer", tag, "node", k.id, "err", err)
+			k.fade(tag)
+			continue
 		case k.listed && s.tries < triesMost && broke(err):
 			k.n.trace("offer again on a new connection", tag, "node", k.id, "err", err)
 			again = append(again, s)
 			continue
 		}
-		k.n.trace("connection lost under an offer", tag, "node", k.id, "status", st, "err", err)
-		k.n.later(func() { k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, st, ravenhitch.WhyUntold) })
+		k.n.trace("an offer never left", tag, "node", k.id, "err", err)
+		k.n.later(func() {
+			k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold)
+		})
 	}
 	clear(nc.open)
 	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
@@ -409,6 +415,9 @@
 func (nc *nodeConn) Opened(*loop.Conn) {
 	nc.readAt = nc.k.n.l.Now()
 	nc.wasUp, nc.k.openedAt = true, nc.readAt
+	if way := nc.readAt - nc.dialAt; nc.k.wayUs == 0 || way < nc.k.wayUs {
+		nc.k.wayUs = way
+	}
 	nc.k.wait, nc.k.broke = 0, false
 	if nc.k.failed {
 		nc.k.failed = false
