Listen for ends only where the minion may believe in a connection that is gone

Only the end of a connection counts that this side ended in silence, or on which nothing came for 0.4 s: where the minion closed or spoilt it, it knows.

--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -127,7 +127,7 @@
 	fading   map[string]bool  // offers reset with their connection; the minion may not know yet
 	wayUs    int64            // the least that a connection took to come up, 0 while none has
 	unheard  map[string]int64 // releases of tasks that stand, and when they were first written
-	goneAt   int64            // when a connection that was up last ended
+	goneAt   int64            // when a connection last ended that the minion may believe in
 	openedAt int64            // when one last came up, or an ear was opened
 }
 
@@ -364,8 +364,8 @@
 	k := nc.k
 	nc.half.Stop()
 	nc.settle()
-	if nc.wasUp {
-		k.goneAt = k.n.l.Now()
+	if now := k.n.l.Now(); nc.wasUp && (errors.Is(err, errSilent) || !broke(err) && now-nc.readAt > staleAfter) {
+		k.goneAt = now // else the minion knows of it
 	}
 	k.conns = slices.DeleteFunc(k.conns, func(o *nodeConn) bool { return o == nc })
 	var again []*sent
