Drop half a message on an ear instead of taking it for a broken connection

Cause: an ear is closed after 0.5 s, and the 0.25 s timer for the rest of half a message could fire after that. It ran nodeConn.Closed, which marks the minion as failed. Change: an ear waits for no rest.

--- a/internal/platform/ear.go
+++ b/internal/platform/ear.go
@@ -41,5 +41,13 @@
 // Opened implements loop.Handler.
 func (e *ear) Opened(c *loop.Conn) { e.k.n.l.After(earLife, c.Close) }
 
+// Data implements loop.Handler. Half a message is not waited for: an ear ends soon, and
+// that it does says nothing of the minion.
+func (e *ear) Data(c *loop.Conn, b []byte) (int, error) {
+	used, err := e.nodeConn.Data(c, b)
+	e.half.Stop()
+	return used, err
+}
+
 // Closed implements loop.Handler. That it did not come up says nothing: offers tell.
-func (e *ear) Closed(*loop.Conn, error) { e.half.Stop() }
+func (e *ear) Closed(*loop.Conn, error) {}
