Answer operators' calls and serve beside another process on the platform's socket

The listening socket may be inherited; told to end, a process then stops accepting at once, so that callers go to the process that goes on. Not taken: the outs in the module itself (every list would need the mark), passing accepted connections to the new process (they end by themselves, and none was turned away).

Ruled out: the stale view, the cold rule, leavingTo. What is held against a minion is forgotten when it is put back, and the next task that fits goes there.

--- a/api.go
+++ b/api.go
@@ -122,6 +122,8 @@
 	StartUs              int64 // 0: long ago
 	State                State
 	SpareCores, SpareMem float64 // not asked for; below 0 where more was accepted
+	// Returned says that operators put it back by hand just now: it is to be used again.
+	Returned bool
 }
 
 // ListKind says how a List event changes the list held.
--- /dev/null
+++ b/cmd/ravenhitch/desk.go
@@ -0,0 +1,150 @@
+package main
+
+// This file joins the desk of operators' staff with the program: what a call does, and
+// the file in which minions that are out by hand are kept from one process to the next.
+// It must never answer yes before what was asked is kept, and never do disk work on the
+// loop.
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"maps"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ravenhitch/internal/manage"
+	"ravenhitch/internal/platform"
+)
+
+// outsEvery is how often the file is looked at for what another process wrote.
+const outsEvery = 200 * time.Millisecond
+
+// shelf is the file of the minions out by hand. Its calls block: they belong beside the
+// loop.
+type shelf struct{ path string }
+
+func newShelf(dir string) shelf { return shelf{filepath.Join(dir, "minions-out")} }
+
+// read returns what the file holds.
+func (s shelf) read() (manage.Outs, error) {
+	b, err := os.ReadFile(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return manage.Outs{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return manage.DecodeOuts(s.path, b)
+}
+
+// change carries out a call on the file, one process at a time.
+func (s shelf) change(c manage.Call) (outs manage.Outs, err error) {
+	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer lock.Close() // which lets go of the lock
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return nil, fmt.Errorf("%s.lock: %w", s.path, err)
+	}
+	if outs, err = s.read(); err != nil {
+		return nil, err
+	}
+	outs = outs.With(c)
+	if err := os.WriteFile(s.path+".new", outs.Encode(), 0o600); err != nil {
+		return nil, err
+	}
+	return outs, os.Rename(s.path+".new", s.path)
+}
+
+// desk opens the place where operators' staff call.
+func (p *program) desk(addr, dir string, log *slog.Logger) (err error) {
+	s := newShelf(dir)
+	outs, err := s.read()
+	if err != nil {
+		return fmt.Errorf("minions out by hand: %w", err)
+	}
+	p.c.Hand(p.l.Now(), outs)
+	calls := make(chan func(), 64)
+	p.maddr, err = platform.NewDesk(p.l, log, func(c manage.Call, answer func([]byte)) {
+		switch c.Verb {
+		case manage.Health:
+			if p.leaving {
+				answer(manage.No("ending"))
+			} else if !p.channel.Followed() {
+				answer(manage.No("the list of minions is not up to date"))
+			} else {
+				answer(manage.Yes())
+			}
+		case manage.Dump:
+			answer(p.dump().Told())
+		default:
+			p.hand(s, calls, c, answer)
+		}
+	}).Listen(addr)
+	if err != nil {
+		return err
+	}
+	go p.keep(s, outs, calls)
+	return nil
+}
+
+// hand takes a minion out or puts it back.
+func (p *program) hand(s shelf, calls chan<- func(), c manage.Call, answer func([]byte)) {
+	if !p.c.Known(c.ID) {
+		answer(manage.No("no minion " + c.ID))
+		return
+	}
+	work := func() {
+		outs, err := s.change(c)
+		p.l.Post(func() {
+			if err != nil {
+				p.log.Error("a minion could not be taken out or put back", "node", c.ID, "err", err)
+				answer(manage.No("not kept: " + err.Error()))
+				return
+			}
+			p.c.Hand(p.l.Now(), outs)
+			answer(manage.Yes())
+		})
+	}
+	select {
+	case calls <- work:
+	default:
+		answer(manage.No("too many calls"))
+	}
+}
+
+// keep does the desk's work on files, and looks for what another process changed.
+func (p *program) keep(s shelf, seen manage.Outs, calls <-chan func()) {
+	for tick := time.NewTicker(outsEvery); ; {
+		select {
+		case work := <-calls:
+			work()
+		case <-p.over:
+			tick.Stop()
+			return
+		case <-tick.C:
+			if outs, err := s.read(); err != nil {
+				p.log.Error("minions out by hand can't be read; what was read last holds", "err", err)
+			} else if !maps.Equal(outs, seen) {
+				seen = outs
+				p.l.Post(func() { p.c.Hand(p.l.Now(), outs) })
+			}
+		}
+	}
+}
+
+// dump is the figures as they stand.
+func (p *program) dump() manage.Figures {
+	f := manage.Figures{Responses: map[string]manage.Class{}, Tries: p.nodes.Tries(), Active: p.c.Open() + p.c.Standing()}
+	f.Pool, f.Ejected = p.c.Pool()
+	for name, e := range p.c.Ends() {
+		f.Responses[name] = manage.Class{OK: e.Started, Shed: e.Refused, Errors: e.Failed}
+	}
+	return f
+}
--- /dev/null
+++ b/cmd/ravenhitch/desk_test.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/manage"
+	"ravenhitch/internal/standin"
+)
+
+// call makes one call of operators' staff and returns all of the answer.
+func call(t *testing.T, addr, line string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(standin.Patience))
+	fmt.Fprintf(c, "%s\n", line)
+	b, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("%s: %v", line, err)
+	}
+	return string(b)
+}
+
+// managed starts a process on a listening socket that the platform holds.
+func managed(t *testing.T, feed *standin.Feed, ln net.Listener) (*program, chan error) {
+	t.Helper()
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse([]byte(configText(feed)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The program gives its descriptor back itself; this one is the platform's.
+	t.Cleanup(func() { f.Close() })
+	cfg.Manage, cfg.Inherited = "127.0.0.1:0", int(f.Fd())
+	p, err := start(cfg, config.Edge{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan error, 1)
+	go func() { over <- p.Run() }()
+	return p, over
+}
+
+func ready(t *testing.T, p *program) {
+	t.Helper()
+	for limit := time.Now().Add(standin.Patience); call(t, p.maddr, "HEALTH") != "+OK\n"; {
+		if time.Now().After(limit) {
+			t.Fatal("never ready")
+		}
+	}
+}
+
+func figures(t *testing.T, addr string) (f manage.Figures) {
+	t.Helper()
+	line, rest, _ := strings.Cut(call(t, addr, "DUMP"), "\n")
+	if err := json.Unmarshal([]byte(line), &f); err != nil || rest != ".\n" {
+		t.Fatalf("%q, %q: %v", line, rest, err)
+	}
+	return f
+}
+
+// Two processes serve one after the other on one socket: what is out by hand at the
+// first is out at the second, no caller is turned away, and the first ends.
+func TestUpgrade(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	feed := standin.NewFeed(t)
+	minions := map[string]*standin.Minion{"a": standin.NewMinion(t, "a"), "b": standin.NewMinion(t, "b")}
+	feed.Add(true, minions["a"].Member("up"), minions["b"].Member("up"))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	old, oldOver := managed(t, feed, ln)
+	ready(t, old)
+	// Callers that say nothing hold nobody up, however many they are.
+	for range 2 * 24 {
+		c, err := net.Dial("tcp", old.maddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "HEAL")
+	}
+	for line, want := range map[string]string{"OFFLINE x": "-ERR no minion x\n", "OFFLINE a": "+OK\n", "ONLINE x": "-ERR no minion x\n"} {
+		if got := call(t, old.maddr, line); got != want {
+			t.Errorf("%s: %q", line, got)
+		}
+	}
+	first := standin.NewOwner(t, ln.Addr().String())
+	place := func(o *standin.Owner, n int, want string) {
+		t.Helper()
+		key := fmt.Sprint("ok-", n)
+		standin.Send(o, standin.SetUp(standin.Tag(n), "guide-web", key, 5000))
+		if l := standin.Wait(t, key, o.Lines); l.Verb != "STARTED" || *l.Blob != want+" holds about "+key {
+			t.Errorf("%s got %v", key, l)
+		}
+	}
+	for n := range 8 {
+		place(first, n+1, "b")
+	}
+	if f := figures(t, old.maddr); f.Responses["guide-web"].OK != 8 || f.Tries != 8 || f.Active != 8 || f.Pool != 2 || f.Ejected != 1 {
+		t.Errorf("%+v", f)
+	}
+
+	next, nextOver := managed(t, feed, ln)
+	ready(t, next)
+	old.Stop()
+	if got := call(t, old.maddr, "HEALTH"); got != "-ERR ending\n" {
+		t.Errorf("the one that ends says %q", got)
+	}
+	// A call back at the first holds at the second, which did not hear it; and whoever
+	// connects now is served by the second, while the first still serves its own.
+	if f := figures(t, next.maddr); f.Ejected != 1 {
+		t.Errorf("what was out by hand is not: %+v", f)
+	}
+	second := standin.NewOwner(t, ln.Addr().String())
+	for n := range 8 {
+		place(second, n+20, "b")
+	}
+	place(first, 40, "b")
+	if f := figures(t, next.maddr); f.Responses["guide-web"].OK != 8 {
+		t.Errorf("callers after the end began went to the one that ends: %+v", f)
+	}
+	if got := call(t, old.maddr, "ONLINE a"); got != "+OK\n" {
+		t.Errorf("back: %q", got)
+	}
+	for limit := time.Now().Add(standin.Patience); figures(t, next.maddr).Ejected != 0; {
+		if time.Now().After(limit) {
+			t.Fatal("still out")
+		}
+	}
+	place(second, 50, "a")
+	if err := standin.Wait(t, "the end of the first", oldOver); err != nil {
+		t.Error(err)
+	}
+	place(second, 51, "a")
+	if _, err := os.Stat(newShelf(os.TempDir()).path); err != nil {
+		t.Error(err)
+	}
+	next.l.Post(next.l.Stop)
+	if err := standin.Wait(t, "the end", nextOver); err != nil {
+		t.Error(err)
+	}
+}
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -34,9 +35,12 @@
 	// The kill comes no sooner after SIGTERM than the longest deadline, counted as
 	// deadlineMost where it is longer, and killSlack; what is still open is answered
 	// quitEarly before it.
-	deadlineMost = 3_000_000
-	killSlack    = 700_000
-	quitEarly    = 300_000
+	// Where the platform holds the owners' socket, another process may serve beside this
+	// one, and the kill comes no sooner than deadlineBeside and killSlack.
+	deadlineMost   = 3_000_000
+	deadlineBeside = 5_000_000
+	killSlack      = 700_000
+	quitEarly      = 300_000
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
@@ -74,6 +78,14 @@
 	if v := os.Getenv("ROUTER_LISTEN"); v != "" {
 		cfg.Listen = v
 	}
+	if v := os.Getenv("ROUTER_MGMT"); v != "" {
+		cfg.Manage = v
+	}
+	if v := os.Getenv("ROUTER_INHERITED_FD"); v != "" {
+		if cfg.Inherited, err = strconv.Atoi(v); err != nil || cfg.Inherited < 3 {
+			return fmt.Errorf("ROUTER_INHERITED_FD: expected the number of a descriptor, 3 or more, got %.40q", v)
+		}
+	}
 	if v := os.Getenv("ROUTER_NAME"); v != "" {
 		cfg.Name = v
 	}
@@ -119,8 +131,11 @@
 	front     *platform.Front
 	channel   *platform.Channel
 	exporters []*metrics.Exporter
-	lastCall  int64 // how long after Stop what is still open is answered
-	leaving   bool  // told to end
+	lastCall  int64  // how long after Stop what is still open is answered
+	leaving   bool   // told to end
+	inherited bool   // the platform holds the owners' socket
+	maddr     string // where operators' staff call, "" where nobody does
+	over      chan struct{}
 }
 
 // start joins the parts and begins to listen; Run serves.
@@ -136,7 +151,7 @@
 	if budget < 16 {
 		return nil, fmt.Errorf("a limit of %d sockets is too low", sockets)
 	}
-	p = &program{log: log}
+	p = &program{log: log, over: make(chan struct{})}
 	if p.l, err = loop.New(budget); err != nil {
 		return nil, err
 	}
@@ -164,11 +179,19 @@
 		p.c.Advise(storm.New(s, cfg.Seed))
 	}
 	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
-	p.lastCall = lastCall(cfg.Settings)
+	p.lastCall = lastCall(cfg.Settings, deadlineMost)
+	if p.inherited = cfg.Inherited > 0; p.inherited {
+		p.lastCall = lastCall(cfg.Settings, deadlineBeside)
+	}
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	p.channel.Apply(cfg.Known, true)
 	p.channel.Start()
-	if p.addr, err = p.front.Listen(cfg.Listen); err != nil {
+	if cfg.Manage != "" {
+		if err = p.desk(cfg.Manage, os.TempDir(), log); err != nil {
+			return nil, fmt.Errorf("the place of operators' calls: %w", err)
+		}
+	}
+	if p.addr, err = p.front.Listen(cfg.Listen, cfg.Inherited); err != nil {
 		return nil, err
 	}
 	if edge.GRPCListen != "" {
@@ -255,11 +278,11 @@
 }
 
 // lastCall is how long after SIGTERM requests may stay open.
-func lastCall(s ravenhitch.Settings) (us int64) {
+func lastCall(s ravenhitch.Settings, most int64) (us int64) {
 	for _, c := range s.Classes {
 		us = max(us, c.DeadlineUs)
 	}
-	return max(stillComing, min(us, deadlineMost)+killSlack-quitEarly)
+	return max(stillComing, min(us, most)+killSlack-quitEarly)
 }
 
 // Reload takes up the configuration file as it is now: of a running program only
@@ -297,6 +320,9 @@
 		if p.grpc != nil {
 			p.grpc.Leave()
 		}
+		if p.inherited { // whoever comes now waits for the process that goes on
+			p.l.Unlisten(p.addr)
+		}
 		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing())
 		p.end(p.l.Now())
 	})
@@ -305,6 +331,7 @@
 // Run serves until Stop.
 func (p *program) Run() error {
 	defer p.l.Close()
+	defer close(p.over)
 	var timer *loop.Timer
 	var due int64
 	err := p.l.Run(func(now int64) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,8 @@
 // Config is what an orchestrator is told at its start.
 type Config struct {
 	Name, Listen, Channel string
+	Manage                string // where operators' staff call, "" where nobody does
+	Inherited             int    // the descriptor of the listening socket that the platform holds, or 0
 	Seed                  uint64
 	MemoryMB, Sockets     int64
 	DialTimeoutUs         int64
@@ -75,7 +77,12 @@
 		DialTimeoutUs: j.Get("settings.Limits.DialTimeoutUs").Int(),
 		ConnIdleUs:    max(0, j.Get("settings.Limits.ConnIdleUs").Int()),
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "channel": c.Channel} {
+	c.Manage = j.Get("mgmt").String()
+	places := map[string]string{"listen": c.Listen, "channel": c.Channel}
+	if c.Manage != "" {
+		places["mgmt"] = c.Manage
+	}
+	for name, addr := range places {
 		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return Config{}, fmt.Errorf("%w: %s: expected address:port, got %.60q", ErrConfig, name, addr)
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -237,6 +237,8 @@
 	spread  spread
 	sweepAt int64
 	counts  Counts
+	ends    map[string]Ends // by class
+	roster  roster
 	tracer  Tracer
 }
 
@@ -250,7 +252,7 @@
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
 		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
 		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
-		tracer: Tracer{Log: log}}
+		tracer: Tracer{Log: log}, ends: map[string]Ends{}}
 	for i, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
 		c.classes[k.Name] = i
@@ -397,6 +399,7 @@
 	a.Tag = r.reply
 	c.trace("answer", r, "kind", a.Kind, "reply", a.Tag)
 	c.spread.answered++
+	c.tally(r.Class, a.Kind)
 	if a.Kind != Started {
 		c.remember(r, a)
 	}
@@ -680,6 +683,7 @@
 		}
 		clear(c.listed)
 	}
+	l.Entries = c.roster.list(l)
 	for _, e := range l.Entries {
 		if c.listed[e.Machine] = true; e.State == ravenhitch.Gone {
 			delete(c.listed, e.Machine)
--- /dev/null
+++ b/internal/core/roster_test.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"testing"
+
+	"ravenhitch"
+)
+
+// A minion that is out by hand gets nothing, whatever the channel lists meanwhile, and
+// is used again as soon as it is back, though its process died with tasks of ours.
+func TestByHand(t *testing.T) {
+	for name, meanwhile := range map[string]func(b *bench){
+		"nothing":      func(*bench) {},
+		"listed up":    func(b *bench) { b.list(ravenhitch.ListDelta, ravenhitch.Ready, "a") },
+		"a whole list": func(b *bench) { b.list(ravenhitch.ListFull, ravenhitch.Ready, "a", "b") },
+		"gone and back": func(b *bench) {
+			b.list(ravenhitch.ListDelta, ravenhitch.Gone, "a")
+			b.list(ravenhitch.ListDelta, ravenhitch.Ready, "a")
+		},
+		"its death":      func(b *bench) { b.NodeLost(b.now, "a"); b.stands = map[string]string{} },
+		"out once more":  func(b *bench) { b.Hand(b.now, map[string]bool{"a": true}) },
+		"another is out": func(b *bench) { b.Hand(b.now, map[string]bool{"a": true, "c": true}) },
+	} {
+		b := newBench(t)
+		b.list(ravenhitch.ListFull, ravenhitch.Ready, "a", "b")
+		b.pass(4000 * ms)
+		n := 0
+		offer := func(key string) string {
+			n++
+			tag := "00000000000000" + string(rune('a'+n/16)) + "0123456789abcdef"[n%16:n%16+1]
+			if err := b.submit(tag, "web", key, 3000); err != nil {
+				t.Fatal(err)
+			}
+			b.pass(10 * ms)
+			node := b.out[tag]
+			if node == "" {
+				t.Fatalf("%s: no offer", name)
+			}
+			b.started(tag)
+			return node
+		}
+		for range 6 {
+			offer("k" + name + string(rune('a'+n)))
+		}
+		if !b.Known("a") || b.Known("x") {
+			t.Errorf("%s: the wrong minions are known", name)
+		}
+		b.Hand(b.now, map[string]bool{"a": true})
+		meanwhile(b)
+		for range 6 {
+			if node := offer("k" + name + string(rune('a'+n))); node == "a" {
+				t.Errorf("%s: an offer to a minion out by hand", name)
+			}
+		}
+		if listed, avoided := b.Pool(); listed != 2 || avoided != 1 {
+			t.Errorf("%s: %d listed, %d avoided", name, listed, avoided)
+		}
+		b.Hand(b.now, nil)
+		if node := offer("k" + name + string(rune('a'+n))); node != "a" {
+			t.Errorf("%s: put back, and the next task went to %s", name, node)
+		}
+		if e := b.Ends()["web"]; e.Started != 13 || e.Refused+e.Failed != 0 {
+			t.Errorf("%s: %+v", name, e)
+		}
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -263,25 +263,55 @@
 	if err := unix.Listen(fd, 1024); err != nil {
 		return fail(err)
 	}
-	if err := l.watch(fd, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
+	if err := l.listen(fd, room, accept); err != nil {
 		return fail(err)
 	}
+	return place(fd, addr), nil
+}
+
+// Inherit accepts connections on a listening socket that this process was started with.
+func (l *Loop) Inherit(fd int, room func() bool, accept func() Handler) (string, error) {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
+		return "", fmt.Errorf("loop: descriptor %d: expected a listening socket (%v)", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return "", fmt.Errorf("loop: descriptor %d: %w", fd, err)
+	}
+	if err := l.listen(fd, room, accept); err != nil {
+		return "", err
+	}
+	return place(fd, ""), nil
+}
+
+func (l *Loop) listen(fd int, room func() bool, accept func() Handler) error {
+	if err := l.watch(fd, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
+		return err
+	}
 	l.listeners[fd] = &listener{fd: fd, accept: accept, room: room}
 	l.held++
+	return nil
+}
+
+// place is where a socket listens, as far as the system tells.
+func place(fd int, addr string) string {
 	if got, err := unix.Getsockname(fd); err == nil {
 		if v4, ok := got.(*unix.SockaddrInet4); ok {
 			addr = netip.AddrPortFrom(netip.AddrFrom4(v4.Addr), uint16(v4.Port)).String()
 		}
 	}
-	return addr, nil
+	return addr
 }
 
-// CloseListeners stops accepting.
-func (l *Loop) CloseListeners() {
+// Unlisten stops accepting at a place that Listen or Inherit returned. What the system
+// has queued there goes to whoever else holds the socket.
+func (l *Loop) Unlisten(addr string) {
 	for fd := range l.listeners {
-		unix.Close(fd)
-		l.held--
-		delete(l.listeners, fd)
+		if place(fd, "") == addr {
+			unix.Close(fd)
+			l.held--
+			delete(l.listeners, fd)
+		}
 	}
 }
 
@@ -687,7 +717,9 @@
 
 // Close gives everything back.
 func (l *Loop) Close() {
-	l.CloseListeners()
+	for fd := range l.listeners {
+		unix.Close(fd)
+	}
 	l.telling = true // the map is being walked
 	for _, c := range l.conns {
 		c.drop()
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -20,6 +20,9 @@
 	blockMs     = 2000
 	answerSlack = 800_000
 	againAfter  = 100_000
+	// followedAfter is how long what is known already takes to come at the most: the
+	// channel answers at once where it has something to tell.
+	followedAfter = 300_000
 )
 
 // Channel follows the command channel.
@@ -34,6 +37,15 @@
 	c      *loop.Conn  // the call under way, or nil
 	limit  *loop.Timer // of that call
 	again  *loop.Timer // the next dial
+
+	askedAt int64 // when it was first asked, or 0
+	told    bool  // it has answered
+}
+
+// Followed reports whether this process has been told what the channel knows: it has
+// answered once, or was asked and had nothing to tell for followedAfter.
+func (ch *Channel) Followed() bool {
+	return ch.told || ch.askedAt > 0 && ch.l.Now()-ch.askedAt > followedAfter
 }
 
 // NewChannel returns a follower that begins after cursor.
@@ -135,6 +147,9 @@
 func (ch *Channel) ask() {
 	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
 		ch.cursor, blockMs, ch.addr)))
+	if ch.askedAt == 0 {
+		ch.askedAt = ch.l.Now()
+	}
 	ch.limit.Stop()
 	ch.limit = ch.l.After(blockMs*1000+answerSlack, func() {
 		ch.log.Warn("the command channel is silent", "cursor", ch.cursor)
@@ -173,6 +188,7 @@
 		ch.log.Warn("a minion on the command channel was left out", "err", err)
 	}
 	ch.limit.Stop()
+	ch.told = true
 	ch.Apply(u, false)
 	if !r.keep {
 		ch.startIn(0)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -75,12 +75,15 @@
 // Connections is how many owners are connected.
 func (f *Front) Connections() int { return len(f.conns) }
 
-// Listen starts to accept owners.
-func (f *Front) Listen(addr string) (string, error) {
+// Listen starts to accept owners at addr, or on the listening socket fd where that is
+// not 0: it belongs to the platform, which keeps it from one process to the next.
+func (f *Front) Listen(addr string, fd int) (string, error) {
 	f.l.After(sweepEvery, f.sweep)
-	return f.l.Listen(addr, f.room, func() loop.Handler {
-		return &owner{f: f, open: map[string]bool{}}
-	})
+	accept := func() loop.Handler { return &owner{f: f, open: map[string]bool{}} }
+	if fd > 0 {
+		return f.l.Inherit(fd, f.room, accept)
+	}
+	return f.l.Listen(addr, f.room, accept)
 }
 
 // room makes room where the limit is reached: it closes a connection with nothing
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -62,7 +62,7 @@
 		if s == nil {
 			continue
 		}
-		delete(nc.open, tag)
+		nc.settled(s)
 		n.trace("give up on the wire", tag, "node", node, "left", s.left(nc.c), "written", s.end > 0, "quiet_us", n.l.Now()-nc.readAt)
 		switch {
 		case s.end == 0: // it never left
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -58,6 +58,7 @@
 	tracer  core.Tracer
 	dialUs  int64
 	links   map[string]*link
+	tries   int64    // offers that left whole and are settled
 	pending []func() // outcomes found while the core was acting
 }
 
@@ -154,6 +155,29 @@
 	tries int
 }
 
+// settled takes an offer off its connection. It is the one place where that happens.
+func (nc *nodeConn) settled(s *sent) {
+	delete(nc.open, s.Tag)
+	if s.left(nc.c) {
+		nc.k.n.tries++
+	}
+}
+
+// Tries is how many offers have left whole.
+func (n *Nodes) Tries() int64 {
+	t := n.tries
+	for _, k := range n.links {
+		for _, nc := range k.conns {
+			for _, s := range nc.open {
+				if s.left(nc.c) {
+					t++
+				}
+			}
+		}
+	}
+	return t
+}
+
 // left reports whether the offer may have reached the minion whole.
 func (s *sent) left(c *loop.Conn) bool { return s.end > 0 && s.end <= c.Given() }
 
@@ -386,7 +410,9 @@
 			k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold)
 		})
 	}
-	clear(nc.open)
+	for _, s := range nc.open {
+		nc.settled(s)
+	}
 	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
 		nc.probed(tag, ravenhitch.ConnectFailed, "")
 	}
@@ -503,7 +529,7 @@
 	switch m.Verb {
 	case verbStarted:
 		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
-			delete(nc.open, m.Tag)
+			nc.settled(s)
 			n.core.NodeStarted(now, id, m.Tag, m.Blob)
 			nc.k.prune()
 		}
@@ -516,7 +542,7 @@
 		// that stands, or a copy or a foreign answer, which must end no attempt.
 		delete(nc.k.unheard, m.Tag)
 		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
-			delete(nc.open, m.Tag)
+			nc.settled(s)
 			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
 			nc.k.prune()
 		} else if n.core.Stands(m.Tag) || n.core.Leaves(m.Tag) {
--- a/placer.go
+++ b/placer.go
@@ -427,6 +427,9 @@
 			return cmp.Compare(a.suspicion(p.now, t.class), b.suspicion(p.now, t.class))
 		})}
 	}
+	if i := slices.IndexFunc(well, func(m *machine) bool { return m.back }); i >= 0 && c.Effect != Unsafe {
+		return well[i] // operators put it back: one task shows that it is in use again
+	}
 	return p.cheapest(well, t)
 }
 
--- a/state.go
+++ b/state.go
@@ -60,6 +60,7 @@
 	told       Load    // the last report
 	toldAt     int64   // and when it came, or 0
 	toldRoom   bool    // it told the room that nobody asked for
+	back       bool    // it was put back by hand and got nothing since
 }
 
 // doubt is suspicion as it stood at a time.
@@ -196,6 +197,20 @@
 	*was = max(now/asked, 1e-9)
 }
 
+// Avoids reports whether a machine gets no task of any class, as it is suspected.
+func (p *Placer) Avoids(name string) bool {
+	m := p.machines[name]
+	if m == nil {
+		return false
+	}
+	for class := range p.s.Classes {
+		if m.suspicion(p.now, class) < suspectOut {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Placer) machine(name string) *machine {
 	m := p.machines[name]
 	if m != nil {
@@ -273,6 +288,7 @@
 	}
 	h.held++
 	m.refs++
+	m.back = false
 }
 
 func (p *Placer) unhold(t *task) {
@@ -451,6 +467,9 @@
 		m.bendC, m.bendM = 1, 1
 	}
 	m.Entry, m.known, m.listed = x, true, x.State != Gone
+	if m.back = m.back && m.listed || x.Returned; x.Returned {
+		clear(m.doubts) // what was held against it, its restart by hand among that, is over
+	}
 	m.kind = slices.IndexFunc(p.s.Kinds, func(k Kind) bool { return k.Name == x.Kind })
 	m.viewAt = p.now
 	m.spares[m.views%lastingViews] = [2]float64{x.SpareCores, x.SpareMem}
