Go on serving until the kill where no other process serves the platform's socket

Cause: callers on a socket that the platform holds come on after SIGTERM. A process that was replaced has to leave them to the next one at once; one that is just restarted would leave them in the system's queue until the kill, after which the next one starts. Change: a process says in $TMPDIR that it serves, with its first yes to HEALTH; told to end, the one before hands over at once, and else serves to 0.4 s before its last call (cmd/ravenhitch/main.go, handOver).

--- a/cmd/ravenhitch/desk.go
+++ b/cmd/ravenhitch/desk.go
@@ -13,6 +13,8 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -26,9 +28,39 @@
 
 // shelf is the file of the minions out by hand. Its calls block: they belong beside the
 // loop.
-type shelf struct{ path string }
+type shelf struct {
+	path    string
+	me, was string // names this process, and the one that served when it began
+}
+
+func newShelf(dir string) shelf {
+	s := shelf{path: filepath.Join(dir, "minions-out")}
+	s.me = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	s.was = s.serves()
+	return s
+}
+
+// serves names the process that said last that it serves, "" where none did.
+func (s shelf) serves() string {
+	b, _ := os.ReadFile(s.path + ".serves") // without the file none did
+	return strings.TrimSpace(string(b))
+}
 
-func newShelf(dir string) shelf { return shelf{filepath.Join(dir, "minions-out")} }
+// claim says to the process that serves beside this one that this one serves now.
+func (s shelf) claim() error { return s.write(".serves", []byte(s.me+"\n")) }
+
+// claimed reports whether a process that began after this one serves.
+func (s shelf) claimed() bool {
+	now := s.serves()
+	return now != s.me && now != s.was
+}
+
+func (s shelf) write(suffix string, b []byte) error {
+	if err := os.WriteFile(s.path+suffix+".new", b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(s.path+suffix+".new", s.path+suffix)
+}
 
 // read returns what the file holds.
 func (s shelf) read() (manage.Outs, error) {
@@ -56,10 +88,7 @@
 		return nil, err
 	}
 	outs = outs.With(c)
-	if err := os.WriteFile(s.path+".new", outs.Encode(), 0o600); err != nil {
-		return nil, err
-	}
-	return outs, os.Rename(s.path+".new", s.path)
+	return outs, s.write("", outs.Encode())
 }
 
 // desk opens the place where operators' staff call.
@@ -71,6 +100,7 @@
 	}
 	p.c.Hand(p.l.Now(), outs)
 	calls := make(chan func(), 64)
+	ready := false // the file says that this process serves
 	p.maddr, err = platform.NewDesk(p.l, log, func(c manage.Call, answer func([]byte)) {
 		switch c.Verb {
 		case manage.Health:
@@ -78,8 +108,10 @@
 				answer(manage.No("ending"))
 			} else if !p.channel.Followed() {
 				answer(manage.No("the list of minions is not up to date"))
-			} else {
+			} else if ready {
 				answer(manage.Yes())
+			} else {
+				p.beside(calls, s.claim, answer, func() { ready = true })
 			}
 		case manage.Dump:
 			answer(p.dump().Told())
@@ -100,20 +132,27 @@
 		answer(manage.No("no minion " + c.ID))
 		return
 	}
-	work := func() {
-		outs, err := s.change(c)
+	var outs manage.Outs
+	p.beside(calls, func() (err error) { outs, err = s.change(c); return err }, answer,
+		func() { p.c.Hand(p.l.Now(), outs) })
+}
+
+// beside does work on files and then, on the loop, what comes of it, and answers.
+func (p *program) beside(calls chan<- func(), work func() error, answer func([]byte), then func()) {
+	task := func() {
+		err := work()
 		p.l.Post(func() {
 			if err != nil {
-				p.log.Error("a minion could not be taken out or put back", "node", c.ID, "err", err)
+				p.log.Error("a call could not be kept", "err", err)
 				answer(manage.No("not kept: " + err.Error()))
 				return
 			}
-			p.c.Hand(p.l.Now(), outs)
+			then()
 			answer(manage.Yes())
 		})
 	}
 	select {
-	case calls <- work:
+	case calls <- task:
 	default:
 		answer(manage.No("too many calls"))
 	}
@@ -129,6 +168,9 @@
 			tick.Stop()
 			return
 		case <-tick.C:
+			if s.claimed() {
+				p.l.Post(func() { p.heir = true })
+			}
 			if outs, err := s.read(); err != nil {
 				p.log.Error("minions out by hand can't be read; what was read last holds", "err", err)
 			} else if !maps.Equal(outs, seen) {
--- a/cmd/ravenhitch/desk_test.go
+++ b/cmd/ravenhitch/desk_test.go
@@ -153,6 +153,12 @@
 	if _, err := os.Stat(newShelf(os.TempDir()).path); err != nil {
 		t.Error(err)
 	}
+	// Nobody goes on after the second: it serves whoever comes until the kill is near.
+	next.Stop()
+	if got := call(t, next.maddr, "HEALTH"); got != "-ERR ending\n" {
+		t.Errorf("the last one says %q", got)
+	}
+	place(standin.NewOwner(t, ln.Addr().String()), 60, "a")
 	next.l.Post(next.l.Stop)
 	if err := standin.Wait(t, "the end", nextOver); err != nil {
 		t.Error(err)
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -131,11 +131,14 @@
 	front     *platform.Front
 	channel   *platform.Channel
 	exporters []*metrics.Exporter
-	lastCall  int64  // how long after Stop what is still open is answered
-	leaving   bool   // told to end
-	inherited bool   // the platform holds the owners' socket
-	maddr     string // where operators' staff call, "" where nobody does
-	over      chan struct{}
+	lastCall  int64 // how long after Stop what is still open is answered
+	leaving   bool  // told to end
+	inherited bool  // the platform holds the owners' socket
+	heir      bool  // a process that goes on serves it already
+	// lastBeside is how long after Stop what is open is answered where there is an heir.
+	lastBeside int64
+	maddr      string // where operators' staff call, "" where nobody does
+	over       chan struct{}
 }
 
 // start joins the parts and begins to listen; Run serves.
@@ -180,9 +183,8 @@
 	}
 	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
 	p.lastCall = lastCall(cfg.Settings, deadlineMost)
-	if p.inherited = cfg.Inherited > 0; p.inherited {
-		p.lastCall = lastCall(cfg.Settings, deadlineBeside)
-	}
+	p.inherited = cfg.Inherited > 0
+	p.lastBeside = lastCall(cfg.Settings, deadlineBeside)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	p.channel.Apply(cfg.Known, true)
 	p.channel.Start()
@@ -320,10 +322,11 @@
 		if p.grpc != nil {
 			p.grpc.Leave()
 		}
-		if p.inherited { // whoever comes now waits for the process that goes on
-			p.l.Unlisten(p.addr)
+		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "heir", p.heir)
+		if p.inherited {
+			p.handOver(p.l.Now())
+			return
 		}
-		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing())
 		p.end(p.l.Now())
 	})
 }
@@ -369,3 +372,27 @@
 		p.l.After(10_000, func() { p.end(since) })
 	}
 }
+
+// handOver ends a process whose owners' socket the platform holds. Where an heir serves
+// it, whoever comes goes there at once, and what is open here is answered. Where none
+// does, callers come on as before and would wait in the system's queue for the next
+// process, which starts only once this one was killed: so it serves until shortly
+// before that, and leaves to the queue only whom it could not answer any more.
+func (p *program) handOver(since int64) {
+	age, last := p.l.Now()-since, p.lastCall
+	if p.heir {
+		last = p.lastBeside
+	}
+	if p.heir || age >= last-stillComing/2 {
+		p.l.Unlisten(p.addr)
+	}
+	switch {
+	case age >= last:
+		p.c.Quit(p.l.Now())
+		p.l.Stop()
+	case p.heir && age >= stillComing && p.c.Open() == 0:
+		p.l.Stop()
+	default:
+		p.l.After(10_000, func() { p.handOver(since) })
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -51,8 +51,9 @@
 	idleLeast = 1_000_000
 	hushLeast = 100_000
 	// hushMost is how long a connection may take for its first message, and for the
-	// rest of a message that has begun. Whoever needs longer is told by the close.
-	hushMost   = 1_500_000
+	// rest of a message that has begun: owners may take 2 s to write one, and who never
+	// does is owed a close within 3 s.
+	hushMost   = 2_400_000
 	sweepEvery = 250_000
 	// unsentMost bounds the releases that wait for an owner to connect.
 	unsentMost = 10_000
