Tell why a start failed instead of crashing, and test the guards of operators' calls

Cause: start returned nil for the program and then closed the loop of that nil (main.go, the deferred close): an address in use, or a torn file, ended in a panic. Found by the test of a torn file. Change: the loop is named.

--- a/cmd/ravenhitch/desk_test.go
+++ b/cmd/ravenhitch/desk_test.go
@@ -102,6 +102,10 @@
 			t.Errorf("%s: %q", line, got)
 		}
 	}
+	if call(t, old.maddr, "OFFLINE b"); figures(t, old.maddr).Ejected != 2 {
+		t.Error("one call out undoes another")
+	}
+	call(t, old.maddr, "ONLINE b")
 	first := standin.NewOwner(t, ln.Addr().String())
 	place := func(o *standin.Owner, n int, want string) {
 		t.Helper()
@@ -164,3 +168,50 @@
 		t.Error(err)
 	}
 }
+
+// A file that was cut short stops the start: taken for an empty one it would put
+// minions back that somebody took out.
+func TestOutsCutShort(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	b := manage.Outs{"a": true}.Encode()
+	if err := os.WriteFile(newShelf(os.TempDir()).path, b[:len(b)-2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse([]byte(configText(standin.NewFeed(t))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Manage = "127.0.0.1:0"
+	if p, err := start(cfg, config.Edge{}, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "minions-out:3: expected") {
+		t.Errorf("%v, %v", p, err)
+	}
+}
+
+// An owner may take 2 s to write a set-up; one that never ends it is told by a close.
+func TestSlowWriter(t *testing.T) {
+	w := newWorld(t, "a")
+	slow, never := w.owner(t), w.owner(t)
+	b, err := json.Marshal(standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	began, half := time.Now(), len(b)/2
+	for _, o := range []*standin.Owner{slow, never} {
+		if _, err := o.Write(b[:half]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2*time.Second - time.Since(began)) // what the owner does, not what the test waits for
+	if _, err := slow.Write(append(b[half:], '\n')); err != nil {
+		t.Fatal(err)
+	}
+	if l := standin.Wait(t, "the answer", slow.Lines); l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	if l, ok := <-never.Lines; ok {
+		t.Errorf("half a set-up got %v", l)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("the close took %v", took)
+	}
+}
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -158,11 +158,11 @@
 	if p.l, err = loop.New(budget); err != nil {
 		return nil, err
 	}
-	defer func() {
-		if err != nil {
-			p.l.Close()
+	defer func(l *loop.Loop) {
+		if err != nil { // p is nil then
+			l.Close()
 		}
-	}()
+	}(p.l)
 	if cfg.MemoryMB > 0 {
 		// What all connections together leave unread fits into a quarter of the memory.
 		p.l.Unread(max(unreadLeast, int(cfg.MemoryMB<<20)/4/budget))
--- a/internal/core/roster_test.go
+++ b/internal/core/roster_test.go
@@ -64,3 +64,39 @@
 		}
 	}
 }
+
+// One task shows that a minion is in use again; the next go where they would. What a
+// whole list left out meanwhile is not there to be put back.
+func TestPutBack(t *testing.T) {
+	b := newBench(t)
+	b.list(ravenhitch.ListFull, ravenhitch.Ready, "a")
+	b.pass(4000 * ms)
+	var got string
+	for n := range 10 {
+		tag := "000000000000000" + string(rune('0'+n))
+		if n == 8 {
+			b.list(ravenhitch.ListDelta, ravenhitch.Ready, "b")
+			b.pass(4000 * ms)
+			b.Hand(b.now, map[string]bool{"a": true})
+			b.Hand(b.now, nil)
+		}
+		if err := b.submit(tag, "web", "k"+tag, 3000); err != nil {
+			t.Fatal(err)
+		}
+		b.pass(10 * ms)
+		got += b.out[tag]
+		b.started(tag)
+	}
+	if got != "aaaaaaaaab" {
+		t.Errorf("placed at %s", got)
+	}
+	b.Hand(b.now, map[string]bool{"a": true})
+	b.list(ravenhitch.ListFull, ravenhitch.Ready, "b")
+	if !b.Known("a") {
+		t.Error("who is out can't be put back")
+	}
+	b.Hand(b.now, nil)
+	if listed, _ := b.Pool(); listed != 1 || b.Known("a") {
+		t.Errorf("%d listed", listed)
+	}
+}
