--- a/cmd/ravenhitch/desk_test.go
+++ b/cmd/ravenhitch/desk_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -215,3 +216,23 @@
 		t.Errorf("the close took %v", took)
 	}
 }
+
+// Processes that change the file at once lose no change.
+func TestOutsTogether(t *testing.T) {
+	dir := t.TempDir()
+	var all sync.WaitGroup
+	for p := range 8 {
+		s := newShelf(dir)
+		all.Go(func() {
+			for n := range 16 {
+				if _, err := s.change(manage.Call{Verb: manage.Offline, ID: fmt.Sprint("s-", p, "-", n)}); err != nil {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	all.Wait()
+	if outs, err := newShelf(dir).read(); err != nil || len(outs) != 8*16 {
+		t.Errorf("%d are out: %v", len(outs), err)
+	}
+}
