--- a/cmd/ravenhitch/desk.go
+++ b/cmd/ravenhitch/desk.go
@@ -1,24 +1,14 @@
 package main
 
-// This file joins the desk of operators' staff with the program: what a call does, and
-// the file in which minions that are out by hand are kept from one process to the next.
-// It must never answer yes before what was asked is kept, and never do disk work on the
-// loop.
+// This file joins the desk of operators' staff with the program: what a call does. It
+// must never answer yes before what was asked is kept, and never do disk work on the loop.
 
 import (
-	"errors"
 	"fmt"
-	"io/fs"
 	"log/slog"
 	"maps"
-	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"ravenhitch/internal/manage"
 	"ravenhitch/internal/platform"
 )
@@ -26,71 +16,6 @@
 // outsEvery is how often the file is looked at for what another process wrote.
 const outsEvery = 200 * time.Millisecond
 
-// shelf is the file of the minions out by hand. Its calls block: they belong beside the
-// loop.
-type shelf struct {
-	path    string
-	me, was string // names this process, and the one that served when it began
-}
-
-func newShelf(dir string) shelf {
-	s := shelf{path: filepath.Join(dir, "minions-out")}
-	s.me = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
-	s.was = s.serves()
-	return s
-}
-
-// serves names the process that said last that it serves, "" where none did.
-func (s shelf) serves() string {
-	b, _ := os.ReadFile(s.path + ".serves") // without the file none did
-	return strings.TrimSpace(string(b))
-}
-
-// claim says to the process that serves beside this one that this one serves now.
-func (s shelf) claim() error { return s.write(".serves", []byte(s.me+"\n")) }
-
-// claimed reports whether a process that began after this one serves.
-func (s shelf) claimed() bool {
-	now := s.serves()
-	return now != s.me && now != s.was
-}
-
-func (s shelf) write(suffix string, b []byte) error {
-	if err := os.WriteFile(s.path+suffix+".new", b, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(s.path+suffix+".new", s.path+suffix)
-}
-
-// read returns what the file holds.
-func (s shelf) read() (manage.Outs, error) {
-	b, err := os.ReadFile(s.path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return manage.Outs{}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	return manage.DecodeOuts(s.path, b)
-}
-
-// change carries out a call on the file, one process at a time.
-func (s shelf) change(c manage.Call) (outs manage.Outs, err error) {
-	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	defer lock.Close() // which lets go of the lock
-	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
-		return nil, fmt.Errorf("%s.lock: %w", s.path, err)
-	}
-	if outs, err = s.read(); err != nil {
-		return nil, err
-	}
-	outs = outs.With(c)
-	return outs, s.write("", outs.Encode())
-}
-
 // desk opens the place where operators' staff call.
 func (p *program) desk(addr, dir string, log *slog.Logger) (err error) {
 	s := newShelf(dir)
--- a/cmd/ravenhitch/desk_test.go
+++ b/cmd/ravenhitch/desk_test.go
@@ -98,7 +98,8 @@
 		defer c.Close()
 		fmt.Fprint(c, "HEAL")
 	}
-	for line, want := range map[string]string{"OFFLINE x": "-ERR no minion x\n", "OFFLINE a": "+OK\n", "ONLINE x": "-ERR no minion x\n"} {
+	for line, want := range map[string]string{"OFFLINE x": "-ERR no minion x\n", "OFFLINE a": "+OK\n", "ONLINE x": "-ERR no minion x\n",
+		"DUMP" + strings.Repeat(" ", manage.CallMost): "-ERR expected a call of at most 512 bytes\n"} {
 		if got := call(t, old.maddr, line); got != want {
 			t.Errorf("%s: %q", line, got)
 		}
--- /dev/null
+++ b/cmd/ravenhitch/shelf.go
@@ -0,0 +1,84 @@
+package main
+
+// This file owns the files by which a process tells the next one, or one beside it, which
+// minions are out by hand and who serves. All of it blocks: it must never run on the loop.
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ravenhitch/internal/manage"
+)
+
+// shelf is the file of the minions out by hand. Its calls block: they belong beside the
+// loop.
+type shelf struct {
+	path    string
+	me, was string // names this process, and the one that served when it began
+}
+
+func newShelf(dir string) shelf {
+	s := shelf{path: filepath.Join(dir, "minions-out")}
+	s.me = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	s.was = s.serves()
+	return s
+}
+
+// serves names the process that said last that it serves, "" where none did.
+func (s shelf) serves() string {
+	b, _ := os.ReadFile(s.path + ".serves") // without the file none did
+	return strings.TrimSpace(string(b))
+}
+
+// claim says to the process that serves beside this one that this one serves now.
+func (s shelf) claim() error { return s.write(".serves", []byte(s.me+"\n")) }
+
+// claimed reports whether a process that began after this one serves.
+func (s shelf) claimed() bool {
+	now := s.serves()
+	return now != s.me && now != s.was
+}
+
+func (s shelf) write(suffix string, b []byte) error {
+	if err := os.WriteFile(s.path+suffix+".new", b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(s.path+suffix+".new", s.path+suffix)
+}
+
+// read returns what the file holds.
+func (s shelf) read() (manage.Outs, error) {
+	b, err := os.ReadFile(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return manage.Outs{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return manage.DecodeOuts(s.path, b)
+}
+
+// change carries out a call on the file, one process at a time.
+func (s shelf) change(c manage.Call) (outs manage.Outs, err error) {
+	lock, err := os.OpenFile(s.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer lock.Close() // which lets go of the lock
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		return nil, fmt.Errorf("%s.lock: %w", s.path, err)
+	}
+	if outs, err = s.read(); err != nil {
+		return nil, err
+	}
+	outs = outs.With(c)
+	return outs, s.write("", outs.Encode())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -252,7 +252,8 @@
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
 		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
 		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
-		tracer: Tracer{Log: log}, ends: map[string]Ends{}}
+		tracer: Tracer{Log: log}, ends: map[string]Ends{},
+		roster: roster{last: map[string]ravenhitch.Entry{}, out: map[string]bool{}, back: map[string]bool{}}}
 	for i, k := range s.Classes {
 		c.effects[k.Name] = k.Effect
 		c.classes[k.Name] = i
--- a/internal/platform/desk.go
+++ b/internal/platform/desk.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 
 	"ravenhitch/internal/loop"
@@ -100,7 +101,11 @@
 		return 0, nil
 	}
 	c.asked = true
-	call, err := manage.ParseCall(string(b[:max(0, min(i, manage.CallMost))]))
+	if i < 0 || i >= manage.CallMost {
+		c.answer(manage.No(fmt.Sprintf("expected a call of at most %d bytes", manage.CallMost)))
+		return len(b), nil
+	}
+	call, err := manage.ParseCall(string(b[:i]))
 	if err != nil {
 		c.d.log.Warn("a call of operators' staff can't be used", "err", err)
 		c.answer(manage.No(err.Error()))
