Look for an heir when told to end, so that no caller is taken and then sent away

Cause: an orchestrator whose socket the platform holds learned only from a look at the files every 200 ms that another serves beside it.

Change: the end begins with one look at the files, beside the loop, at most 0.1 s; HEALTH says 'ending' only after it.

--- a/cmd/ravenhitch/desk.go
+++ b/cmd/ravenhitch/desk.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	p.look = make(chan struct{}, 1)
 	go p.keep(s, outs, calls)
 	return nil
 }
@@ -92,6 +93,9 @@
 		case <-p.over:
 			tick.Stop()
 			return
+		case <-p.look:
+			heir := s.claimed()
+			p.l.Post(func() { p.heir = p.heir || heir; p.leave() })
 		case <-tick.C:
 			if s.claimed() {
 				p.l.Post(func() { p.heir = true })
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -46,6 +46,8 @@
 	spareSockets = 32
 	// unreadLeast is what any connection may leave unread: some messages of full size.
 	unreadLeast = 64 << 10
+	// lookMost is how long an end waits for a look at the files, which may be on a slow disk.
+	lookMost = 100_000
 	// exportersWait is how long the last figures may take at the end.
 	exportersWait = 200 * time.Millisecond
 	// socketsDefault holds where the configuration names no limit.
@@ -135,6 +137,8 @@
 	leaving   bool  // told to end
 	inherited bool  // the platform holds the owners' socket
 	heir      bool  // a process that goes on serves it already
+	// look asks for a look at the files for an heir, nil where nobody keeps files.
+	look chan struct{}
 	// lastBeside is how long after Stop what is open is answered where there is an heir.
 	lastBeside int64
 	maddr      string // where operators' staff call, "" where nobody does
@@ -315,22 +319,37 @@
 // goroutine, and more than once.
 func (p *program) Stop() {
 	p.l.Post(func() {
-		if p.leaving {
-			return
-		}
-		p.leaving = true
-		if p.grpc != nil {
-			p.grpc.Leave()
-		}
-		p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "heir", p.heir)
-		if p.inherited {
-			p.handOver(p.l.Now())
-			return
+		if p.inherited && !p.heir {
+			// An heir may have begun since the files were last looked at: whoever came
+			// meanwhile would be taken here and sent away again.
+			select {
+			case p.look <- struct{}{}:
+				p.l.After(lookMost, p.leave)
+				return
+			default:
+			}
 		}
-		p.end(p.l.Now())
+		p.leave()
 	})
 }
 
+// leave begins the end, once.
+func (p *program) leave() {
+	if p.leaving {
+		return
+	}
+	p.leaving = true
+	if p.grpc != nil {
+		p.grpc.Leave()
+	}
+	p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "heir", p.heir)
+	if p.inherited {
+		p.handOver(p.l.Now())
+		return
+	}
+	p.end(p.l.Now())
+}
+
 // Run serves until Stop.
 func (p *program) Run() error {
 	defer p.l.Close()
