--- /dev/null
+++ b/internal/core/nodes.go
@@ -0,0 +1,212 @@
+package core
+
+// This file owns the nodes' side of the table: what nodes say of attempts and of tasks that
+// stand, and what the list says of nodes. It must never send an offer.
+
+import "ravenhitch"
+
+// Offer is an attempt as a node gets it.
+type Offer struct {
+	Tag, Class, Key string
+	WaitUs          int64
+	Description     string
+}
+
+// Nodes carries offers to nodes. What comes of them is told with NodeStarted,
+// NodeEnded, NodeNote and NodeSampled, never from within these calls.
+type Nodes interface {
+	Offer(node string, o Offer)
+	// GiveUp withdraws an offer that was not answered, ahead of whatever is offered
+	// after it. It reports whether the attempt is over for sure; where it is not,
+	// NodeGaveUp tells when it is.
+	GiveUp(node, tag string) (sure bool)
+	// Release ends a task that stands.
+	Release(node, tag string)
+	Probe(node string)
+}
+
+// NodeStarted takes a node's word that a task stands. A word on an attempt
+// that was given up changes nothing: its owner got another answer, or will.
+func (c *Core) NodeStarted(now int64, node, tag, description string) {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil || r.state != out || r.node != node {
+		return
+	}
+	r.mayRun = true
+	c.to(r, standing)
+	c.trace("started", r)
+	c.counts.Started++
+	c.advisor.Started(now, r.caller())
+	c.disarm(r)
+	c.event(ravenhitch.Accepted{Ticket: tag, Attempt: r.copy, Machine: node, RTTUs: now - r.sentAt})
+	if r.Resumes {
+		r.binding = description
+	}
+	c.answer(r, Answer{Kind: Started, Description: description, Node: node})
+}
+
+// NodeEnded takes the end of an attempt or of a task that stands.
+func (c *Core) NodeEnded(now int64, node, tag string, st ravenhitch.Status, why ravenhitch.Why) {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil || r.node != node {
+		return
+	}
+	c.trace("node ended", r, "status", st)
+	switch r.state {
+	case out:
+		switch st {
+		case ravenhitch.OK, ravenhitch.Cancelled:
+			st = ravenhitch.Reset
+		}
+		c.ended(r, st, why)
+	case ending:
+		c.ended(r, r.endAs, ravenhitch.WhyUntold)
+	case standing, leaving:
+		switch st {
+		case ravenhitch.OK, ravenhitch.Cancelled, ravenhitch.Reset:
+		default:
+			st = ravenhitch.Reset
+		}
+		c.over(r, st, why)
+	}
+}
+
+// NodeGaveUp takes it that an attempt that was given up is over for sure: the node has
+// read the give-up, or its connection is closed.
+func (c *Core) NodeGaveUp(now int64, node, tag string) {
+	c.now = now
+	if r := c.reqs[tag]; r != nil && r.node == node && r.state == ending {
+		c.trace("given up for sure", r)
+		c.ended(r, r.endAs, ravenhitch.WhyUntold)
+	}
+}
+
+// giveUp ends the attempt that is out. The node is told before anything else may go
+// out for this request, and the module hears of the end, and may offer elsewhere, only
+// once the attempt is over for sure: a give-up that is still on its way, or lies in a
+// connection that fell silent, ends nothing. The answer does not wait for that.
+func (c *Core) giveUp(r *request, st ravenhitch.Status) {
+	if sure := c.nodes.GiveUp(r.node, r.Tag); sure || c.now >= r.deadline {
+		c.ended(r, st, ravenhitch.WhyUntold)
+		return
+	}
+	c.to(r, ending)
+	r.endAs, r.mayRun = st, true
+	c.arm(r, r.deadline)
+}
+
+// ended is the end of an attempt that was not answered with yes.
+func (c *Core) ended(r *request, st ravenhitch.Status, why ravenhitch.Why) {
+	switch st {
+	case ravenhitch.Full:
+		c.counts.Full++
+	case ravenhitch.ConnectFailed:
+		c.counts.ConnectFailed++
+	case ravenhitch.Moot:
+	case ravenhitch.TimedOut:
+		c.counts.TimedOut++
+		r.mayRun = true
+	default:
+		c.counts.Reset++
+		r.mayRun = true
+	}
+	c.to(r, waiting)
+	c.done(r, st, why, false)
+	c.arm(r, r.deadline)
+}
+
+// over is the end of a task that stood. Its owner is told, but where it asked
+// for the end itself.
+func (c *Core) over(r *request, st ravenhitch.Status, why ravenhitch.Why) {
+	c.advisor.Ended(c.now, r.caller())
+	c.done(r, st, why, true)
+	if r.state == standing && st != ravenhitch.Cancelled {
+		c.counts.Over++
+		c.answer(r, Answer{Kind: Over, Status: st, Why: why})
+	}
+	c.forget(r)
+}
+
+func (c *Core) done(r *request, st ravenhitch.Status, why ravenhitch.Why, closed bool) {
+	c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: r.copy, Machine: r.node, Status: st, Why: why,
+		Closed: closed, RTTUs: c.now - r.sentAt})
+}
+
+// NodeNote takes news of a task that stands.
+func (c *Core) NodeNote(now int64, node, tag string, kind ravenhitch.NoteKind, value float64) {
+	c.now = now
+	if r := c.reqs[tag]; r != nil && r.node == node && r.state == standing {
+		c.event(ravenhitch.Note{Ticket: tag, Attempt: r.copy, Machine: node, Kind: kind, Value: value})
+	}
+}
+
+// NodeSampled takes the answer to a probe.
+func (c *Core) NodeSampled(now int64, e ravenhitch.Sampled) {
+	c.now = now
+	c.event(e)
+}
+
+// NodeReached takes it that a node took a connection after one to it had failed or
+// fallen silent.
+func (c *Core) NodeReached(now int64, node string) {
+	c.now = now
+	c.event(ravenhitch.Reached{Machine: node})
+}
+
+// Holding is what stands at a node, or is being ended there.
+type Holding struct {
+	Tasks int
+	Since int64 // when the oldest was offered, 0 for one that was handed in as standing
+}
+
+// Held is what stands at each node.
+func (c *Core) Held() map[string]Holding {
+	held := map[string]Holding{}
+	for _, r := range c.reqs {
+		if r.state == standing || r.state == leaving {
+			h, ok := held[r.node]
+			if h.Tasks++; !ok || r.sentAt < h.Since {
+				h.Since = r.sentAt
+			}
+			held[r.node] = h
+		}
+	}
+	return held
+}
+
+// NodeLost takes a proof that the process of a node has died: what stood there
+// is cut, and nobody will tell.
+func (c *Core) NodeLost(now int64, node string) {
+	c.now = now
+	for _, r := range c.sorted() {
+		if r.node == node && (r.state == standing || r.state == leaving) {
+			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
+		}
+	}
+}
+
+// List takes what the command channel told of the nodes.
+func (c *Core) List(now int64, l ravenhitch.List) {
+	c.now = now
+	c.channel = true
+	if l.Kind == ravenhitch.ListFull || l.Kind == ravenhitch.ListCached {
+		for node := range c.listed { // what a whole list does not name is gone
+			c.told[node] = now
+		}
+		clear(c.listed)
+	}
+	l.Entries = c.roster.list(l)
+	for _, e := range l.Entries {
+		if c.listed[e.Machine] = true; e.State == ravenhitch.Gone {
+			delete(c.listed, e.Machine)
+		}
+		if e.State == ravenhitch.Ready {
+			delete(c.told, e.Machine)
+		} else if _, ok := c.told[e.Machine]; !ok {
+			c.told[e.Machine] = now
+		}
+	}
+	c.event(l)
+}
--- /dev/null
+++ b/internal/core/setup.go
@@ -0,0 +1,52 @@
+package core
+
+// This file owns what an owner may ask for, and its bounds. It must never look at a node.
+
+import "strings"
+
+// Setup is what an owner asks for. Description is opaque.
+type Setup struct {
+	Tag, Class, Key string
+	WaitUs          int64  // how long the owner waits from CameUs on
+	CameUs          int64  // the earliest that the set-up can have come, 0 for now
+	SinceUs         int64  // since when its owner proved to stand in line, 0 where it did not
+	Tries           int    // refusals before, as proved
+	From            uint64 // the connection or session that it came by, 0 where none is told
+	Cores, Mem      float64
+	Service         uint64
+	At              string // the node that holds the task already, or ""
+	Description     string
+	// Resumes says that the owner repeats a set-up whose answer it has not read: a
+	// set-up of a task that is open or stands gets that one's answer.
+	Resumes bool
+}
+
+// The bounds of what an owner may ask for. A longer wait than a day, or a figure of
+// a million million, is a slip or worse.
+const (
+	waitMost   = int64(86_400_000_000)
+	figureMost = 1e9
+	nameMost   = 64
+)
+
+// Fault names the first field of a set-up that makes no sense, and what was expected
+// of it; "" where there is none. Fronts ask before they submit: what no node could
+// use must reach none, as its error would speak against the node.
+func (s *Setup) Fault() (field, want string) {
+	fine := func(v float64) bool { return v > 0 && v < figureMost } // NaN is not
+	switch {
+	case len(s.Tag) != 16 || strings.Trim(s.Tag, "0123456789abcdefABCDEF") != "":
+		return "tag", "16 hex digits"
+	case s.Key == "" || len(s.Key) > nameMost:
+		return "task", "a name of 1 to 64 bytes"
+	case s.Class == "" || len(s.Class) > nameMost:
+		return "class", "a name of 1 to 64 bytes"
+	case !fine(s.Cores):
+		return "cores", "a number above 0"
+	case !fine(s.Mem):
+		return "memory", "a number above 0"
+	case s.At == "" && (s.WaitUs <= 0 || s.WaitUs > waitMost):
+		return "wait", "a time above 0, a day at most"
+	}
+	return "", ""
+}
--- /dev/null
+++ b/internal/core/turns.go
@@ -0,0 +1,235 @@
+package core
+
+// This file owns the turns: times that have come, the call of the module, and the guards
+// between what it answers and the nodes. No offer leaves but by place.
+
+import (
+	"container/heap"
+
+	"ravenhitch"
+)
+
+// Next is when Turn has to be called next, or 0.
+func (c *Core) Next() int64 {
+	at := int64(0)
+	sooner := func(t int64) {
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	if len(c.due) > 0 {
+		sooner(c.due[0].due)
+	}
+	if len(c.bells) > 0 {
+		sooner(c.bells[0].at)
+	}
+	if len(c.events) > 0 {
+		sooner(c.now)
+	}
+	return at
+}
+
+// Turn hands what happened to the module in one go and carries out what it
+// answers.
+func (c *Core) Turn(now int64) {
+	c.now = now
+	for len(c.due) > 0 && c.due[0].due <= now {
+		c.expire(c.due[0])
+	}
+	for len(c.bells) > 0 && c.bells[0].at <= now {
+		b := heap.Pop(&c.bells).(bell)
+		c.event(ravenhitch.Bell{Ref: b.ref})
+	}
+	if now >= c.sweepAt {
+		c.sweepAt = now + sweepEvery
+		c.sweep()
+	}
+	if c.observe && c.channel {
+		// The channel is followed without being asked; the module is told that it is.
+		c.observe = false
+		c.event(ravenhitch.List{Kind: ravenhitch.ListDelta})
+	}
+	if len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		actions := c.placer.Handle(now, events)
+		c.announce(actions)
+		for _, a := range actions {
+			c.act(a)
+		}
+	}
+	c.press()
+}
+
+// expire acts on a time that has come.
+func (c *Core) expire(r *request) {
+	c.disarm(r)
+	switch r.state {
+	case out, ending:
+		if r.state == out {
+			c.trace("attempt timed out", r, "abandon", r.abandon)
+			c.giveUp(r, ravenhitch.TimedOut)
+		} else {
+			c.ended(r, r.endAs, ravenhitch.WhyUntold)
+		}
+		if c.now >= r.deadline {
+			// The module answers within this turn; else the next turn does.
+			c.arm(r, c.now+1)
+		}
+	case waiting:
+		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
+		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
+		c.finish(r)
+	case leaving:
+		c.nodes.Release(r.node, r.Tag)
+		c.over(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
+	}
+}
+
+// sweep ends tasks on nodes that no list names any more. It guards against
+// tasks left standing for ever where a node vanished without a word.
+func (c *Core) sweep() {
+	if !c.channel {
+		return
+	}
+	for node, at := range c.told {
+		// Nodes come and go with new names for ever.
+		if !c.listed[node] && c.now-at > toldMost {
+			delete(c.told, node)
+		}
+	}
+	for _, r := range c.sorted() {
+		if r.state != standing || c.listed[r.node] {
+			r.lostAt = 0
+			continue
+		}
+		if r.lostAt == 0 {
+			r.lostAt = c.now
+		}
+		if c.now-r.lostAt >= orphanAfter {
+			c.log.Info("a task stood on a node that left the list", "tag", r.Tag, "node", r.node)
+			c.nodes.Release(r.node, r.Tag)
+			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
+		}
+	}
+}
+
+// act carries out one action of the module.
+func (c *Core) act(a ravenhitch.Action) {
+	switch a := a.(type) {
+	case ravenhitch.Place:
+		if r := c.reqs[a.Ticket]; r != nil {
+			c.place(r, a)
+		}
+	case ravenhitch.Deny:
+		if r := c.reqs[a.Ticket]; r != nil && r.open() {
+			c.finish(r)
+		}
+	case ravenhitch.Error:
+		if r := c.reqs[a.Ticket]; r != nil && r.open() {
+			r.mayRun = true
+			c.fail(r)
+		}
+	case ravenhitch.Move:
+		if r := c.reqs[a.Ticket]; r != nil && r.state == standing {
+			c.counts.Moved++
+			c.answer(r, Answer{Kind: Moved})
+			c.nodes.Release(r.node, r.Tag)
+			c.to(r, leaving)
+			c.arm(r, c.now+cutWait)
+		}
+	case ravenhitch.Cancel:
+		if r := c.reqs[a.Ticket]; r != nil && r.state == out && a.Attempt == r.copy {
+			c.giveUp(r, ravenhitch.Cancelled)
+		}
+	case ravenhitch.AskLoad:
+		c.nodes.Probe(a.Machine)
+	case ravenhitch.Observe:
+		c.observe = a.Active
+	case ravenhitch.Refresh:
+		c.observe = true
+	case ravenhitch.SetAlarm:
+		heap.Push(&c.bells, bell{c.now + a.OffsetUs, a.Ref})
+	case ravenhitch.SayLog:
+		c.log.Info("module", "text", a.Text)
+	}
+}
+
+// place sends an offer, if no invariant stands against it.
+func (c *Core) place(r *request, a ravenhitch.Place) {
+	guard := ""
+	told, draining := c.told[a.Machine]
+	switch {
+	case r.state != waiting:
+		guard = "an attempt is out or the request is over"
+	case c.now >= r.deadline:
+		guard = "its time is up"
+	case c.set.AttemptsCap > 0 && r.attempts >= c.set.AttemptsCap:
+		guard = "no attempts are left"
+	case r.effect == ravenhitch.Unsafe && r.mayRun:
+		guard = "it may have started and must not start twice"
+	case draining && c.now >= told+max(0, c.set.DrainGraceUs-drainMargin):
+		guard = "the node drains"
+	}
+	if guard != "" {
+		c.trace("offer held back", r, "to", a.Machine, "why", guard)
+		c.counts.Guarded++
+		c.log.Error("the module's offer was held back", "tag", r.Tag, "node", a.Machine, "why", guard)
+		c.event(ravenhitch.Done{Ticket: r.Tag, Attempt: r.attempts, Machine: a.Machine, Status: ravenhitch.Moot})
+		r.attempts++
+		return
+	}
+	c.counts.Offers++
+	c.to(r, out)
+	r.node, r.sentAt, r.copy = a.Machine, c.now, r.attempts
+	r.attempts++
+	r.abandon = r.deadline
+	if a.AbandonAtUs > 0 {
+		r.abandon = min(r.deadline, max(a.AbandonAtUs, c.now+1))
+	}
+	c.arm(r, r.abandon)
+	c.trace("offer", r, "abandon", r.abandon, "deadline", r.deadline)
+	c.nodes.Offer(a.Machine, Offer{Tag: r.Tag, Class: r.Class, Key: r.Key, WaitUs: r.abandon - c.now,
+		Description: r.Description})
+}
+
+// finish answers a request that was given up: refused where a retry is
+// harmless, else failed.
+func (c *Core) finish(r *request) {
+	if r.mayRun && r.effect != ravenhitch.Safe {
+		c.fail(r)
+		return
+	}
+	c.withdraw(r)
+	c.counts.Refused++
+	c.answer(r, Answer{Kind: Refused, WaitUs: c.advisor.Refused(c.now, r.caller()), SinceUs: r.SinceUs, Tries: r.Tries + 1})
+	c.forget(r)
+}
+
+func (c *Core) fail(r *request) {
+	c.withdraw(r)
+	c.counts.Failed++
+	c.answer(r, Answer{Kind: Failed})
+	c.forget(r)
+}
+
+// withdraw gives up an attempt that is still out at the end of its request.
+func (c *Core) withdraw(r *request) {
+	switch r.state {
+	case out:
+		c.trace("given up", r)
+		c.nodes.GiveUp(r.node, r.Tag)
+		c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
+	case ending:
+		c.done(r, r.endAs, ravenhitch.WhyUntold, true)
+	}
+}
+
+// Quit answers whatever is still open; used when the program has to end.
+func (c *Core) Quit(now int64) {
+	c.now = now
+	for _, r := range c.sorted() {
+		c.Refuse(now, r.owner, r.Tag)
+	}
+	c.events = nil
+}
