Move the line reader into internal/config; its two forms are told apart by file name

Cause: internal/conf and internal/config differed by two letters and had one user between them.

Change: platform.go (JSON), lines.go (the reader of lines) and operators.go (what they may say). Parse of lines is ParseLines; no accepted text changes.

--- a/internal/conf/conf.go
+++ b/internal/config/lines.go
@@ -1,10 +1,11 @@
-// Package conf reads the line-based form of the operators' files, in the manner of
+package config
+
+// This file reads the line-based form of the operators' files, in the manner of
 // classic daemons: a section's name in brackets, then one directive a line, a word
 // and what belongs to it; # begins a comment; double quotes keep spaces in a word.
 // It owns the form alone: what a directive means its user says. It must never open a
 // file, and every error of it names the file, the line, the column and what was
 // expected.
-package conf
 
 import (
 	"errors"
@@ -65,8 +66,8 @@
 	Directives []Directive
 }
 
-// Parse reads a file's text.
-func Parse(file string, text []byte) ([]Section, error) {
+// ParseLines reads a file's text.
+func ParseLines(file string, text []byte) ([]Section, error) {
 	if len(text) > sizeMost {
 		return nil, &Error{File: file, Line: 1, Column: 1, Want: fmt.Sprintf("at most %d bytes", sizeMost)}
 	}
--- a/internal/conf/conf_test.go
+++ b/internal/config/lines_test.go
@@ -1,4 +1,4 @@
-package conf
+package config
 
 import (
 	"errors"
@@ -7,14 +7,14 @@
 	"testing"
 )
 
-// FuzzParse looks at what holds of any text: an error names a place in it, and what is
+// FuzzLines looks at what holds of any text: an error names a place in it, and what is
 // read, written out again, reads the same.
-func FuzzParse(f *testing.F) {
+func FuzzLines(f *testing.F) {
 	for _, s := range []string{"[a]\nb c # d\n", "[a]\nb \"c d\"\n", "[", "\"", "[a]\n[a]", "[a] b", "x", "[a]\r\nb\r\n", "[a]\nb \"\"", "[a]\n\"#\" b"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		sections, err := Parse("f", []byte(s))
+		sections, err := ParseLines("f", []byte(s))
 		var at *Error
 		if err != nil {
 			if !errors.As(err, &at) || !errors.Is(err, ErrConf) || at.Line < 1 || at.Line > strings.Count(s, "\n")+1 || at.Column < 1 {
@@ -35,7 +35,7 @@
 		if strings.ContainsAny(out.String(), "\r") {
 			return // a lone one within a word can't be told from a line's end when quoted last
 		}
-		again, err := Parse("f", []byte(out.String()))
+		again, err := ParseLines("f", []byte(out.String()))
 		if err != nil {
 			t.Fatalf("%q became %q: %v", s, out.String(), err)
 		}
@@ -61,7 +61,7 @@
 		{strings.Repeat("#\n", sizeMost), "f:1:1: expected at most"},
 		{"[a]\n" + strings.Repeat("x", lineMost+1), "f:2:4097: expected a line of at most"},
 	} {
-		if _, err := Parse("f", []byte(x.text)); err == nil || !strings.Contains(err.Error(), x.want) {
+		if _, err := ParseLines("f", []byte(x.text)); err == nil || !strings.Contains(err.Error(), x.want) {
 			t.Errorf("got %v", err)
 		}
 	}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -13,8 +13,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"ravenhitch/internal/conf"
 )
 
 // Edge is what the operators' file says of the further protocols, each of which is
@@ -65,14 +63,14 @@
 }
 
 // directives are the sections and what each directive in them sets.
-type directives map[string]map[string]func(d conf.Directive) error
+type directives map[string]map[string]func(d Directive) error
 
 // ParseEdge reads the text of an operators' file.
 func ParseEdge(file string, b []byte) (Edge, error) {
 	var e Edge
 	e.Graphite, e.Collectd = Metrics{Prefix: "ravenhitch", EveryMs: 10_000}, Metrics{Prefix: "ravenhitch", EveryMs: 10_000}
-	word := func(v *string, want string, fine func(string) bool) func(conf.Directive) error {
-		return func(d conf.Directive) (err error) {
+	word := func(v *string, want string, fine func(string) bool) func(Directive) error {
+		return func(d Directive) (err error) {
 			if *v, err = d.Word(want); err == nil && !fine(*v) {
 				err = d.Args[0].Wrong(want)
 			}
@@ -82,26 +80,26 @@
 	address := func(v string) bool { _, err := netip.ParseAddrPort(v); return err == nil }
 	absolute := func(v string) bool { return strings.HasPrefix(v, "/") }
 	filled := func(v string) bool { return v != "" }
-	duration := func(v *time.Duration, least, most time.Duration) func(conf.Directive) error {
-		return func(d conf.Directive) (err error) {
+	duration := func(v *time.Duration, least, most time.Duration) func(Directive) error {
+		return func(d Directive) (err error) {
 			*v, err = d.Duration(least, most)
 			return err
 		}
 	}
-	metrics := func(m *Metrics, want string, fine func(string) bool) map[string]func(conf.Directive) error {
-		return map[string]func(conf.Directive) error{
+	metrics := func(m *Metrics, want string, fine func(string) bool) map[string]func(Directive) error {
+		return map[string]func(Directive) error{
 			"address": word(&m.Address, want, fine),
 			"prefix": word(&m.Prefix, "a name without spaces, slashes or quotes", func(v string) bool {
 				return v != "" && !strings.ContainsAny(v, " \t/\"")
 			}),
-			"every": func(d conf.Directive) error {
+			"every": func(d Directive) error {
 				v, err := d.Duration(100*time.Millisecond, time.Hour)
 				m.EveryMs = v.Milliseconds()
 				return err
 			},
 		}
 	}
-	sections, err := conf.Parse(file, b)
+	sections, err := ParseLines(file, b)
 	if err != nil {
 		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
@@ -115,14 +113,14 @@
 		"graphite": metrics(&e.Graphite, "address:port", address),
 		"collectd": metrics(&e.Collectd, "the absolute path of a Unix socket", absolute),
 		"log": {
-			"level": func(d conf.Directive) error {
+			"level": func(d Directive) error {
 				v, err := d.OneOf("info", "debug")
 				if v == "debug" {
 					e.LogLevel = slog.LevelDebug
 				}
 				return err
 			},
-			"trace": func(d conf.Directive) error {
+			"trace": func(d Directive) error {
 				if len(d.Args) == 0 {
 					return d.Name.Wrong("trace followed by endings of tags, in hex digits")
 				}
@@ -136,7 +134,7 @@
 			},
 		},
 		"storm": {
-			"advice": func(d conf.Directive) error {
+			"advice": func(d Directive) error {
 				if len(d.Args) > 0 && d.Args[0].Text == "booked" {
 					_, err := d.OneOf("booked")
 					return err
@@ -144,7 +142,7 @@
 				return duration(&e.Storm.Constant, time.Millisecond, time.Hour)(d)
 			},
 			"least": duration(&e.Storm.Least, 0, time.Minute),
-			"callers": func(d conf.Directive) error {
+			"callers": func(d Directive) error {
 				n, err := d.Int(1024, 16<<20)
 				e.Storm.Callers = int(n)
 				return err
@@ -166,7 +164,7 @@
 }
 
 // read hands each directive to what takes it, each at most once.
-func read(sections []conf.Section, known directives) error {
+func read(sections []Section, known directives) error {
 	for _, s := range sections {
 		takes := known[s.Name.Text]
 		if takes == nil {
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -15,7 +15,7 @@
 	"fmt"
 	"slices"
 
-	"ravenhitch/internal/conf"
+	"ravenhitch/internal/config"
 )
 
 // The faults of tickets. With each the offer counts as one without a ticket.
@@ -73,7 +73,7 @@
 // for each, the one for new tickets first. To rotate, add the new key last at every
 // orchestrator, then put it first at every one, then drop the old one.
 func ParseKeys(file string, text []byte) (*Keys, error) {
-	sections, err := conf.Parse(file, text)
+	sections, err := config.ParseLines(file, text)
 	if err != nil {
 		return nil, err
 	}
@@ -105,7 +105,7 @@
 		}
 	}
 	if len(out.keys) == 0 {
-		return nil, fmt.Errorf("%w: %s: expected a section [keys] with at least one key", conf.ErrConf, file)
+		return nil, fmt.Errorf("%w: %s: expected a section [keys] with at least one key", config.ErrConf, file)
 	}
 	return out, nil
 }
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"ravenhitch/internal/conf"
+	"ravenhitch/internal/config"
 )
 
 const now = int64(1_700_000_000_000_000)
@@ -122,7 +122,7 @@
 		{"[keys]\n" + old + old, "k:3:5: expected a name that no other key has"},
 	} {
 		_, err := ParseKeys("k", []byte(x.text))
-		if !errors.Is(err, conf.ErrConf) || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "0708090a") {
+		if !errors.Is(err, config.ErrConf) || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "0708090a") {
 			t.Errorf("%q: %v", x.text, err)
 		}
 	}
