--- a/cmd/ravenhitch/desk.go
+++ b/cmd/ravenhitch/desk.go
@@ -40,6 +40,8 @@
 			}
 		case manage.Dump:
 			answer(p.dump().Told())
+		case manage.Peers:
+			answer(p.told())
 		default:
 			p.hand(s, calls, c, answer)
 		}
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -15,6 +15,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,6 +25,7 @@
 	"ravenhitch/internal/grpcfront"
 	"ravenhitch/internal/loop"
 	"ravenhitch/internal/metrics"
+	"ravenhitch/internal/peer"
 	"ravenhitch/internal/platform"
 	"ravenhitch/internal/storm"
 	"ravenhitch/internal/ticket"
@@ -61,6 +63,9 @@
 		os.Exit(1)
 		return nil
 	})
+	if len(os.Args) > 1 && !strings.HasPrefix(os.Args[1], "-") {
+		os.Exit(command(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	flag.Parse()
 	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenhitch:", err)
@@ -132,6 +137,7 @@
 
 	front     *platform.Front
 	channel   *platform.Channel
+	peers     *peer.Peers // nil where no others are known
 	exporters []*metrics.Exporter
 	lastCall  int64 // how long after Stop what is still open is answered
 	leaving   bool  // told to end
@@ -200,6 +206,11 @@
 	if p.addr, err = p.front.Listen(cfg.Listen, cfg.Inherited); err != nil {
 		return nil, err
 	}
+	if edge.Peers.Listen != "" {
+		if err = p.join(cfg, edge.Peers); err != nil {
+			return nil, err
+		}
+	}
 	if edge.GRPCListen != "" {
 		creds, err := grpcfront.Credentials(edge.GRPCCert, edge.GRPCKey)
 		if err != nil {
@@ -231,7 +242,7 @@
 		p.export("unix", m, metrics.Collectd{Prefix: m.Prefix, Name: cfg.Name,
 			Every: time.Duration(m.EveryMs) * time.Millisecond})
 	}
-	log.Info("serving", "listen", p.addr, "grpc", p.gaddr, "known", cfg.Known.Cursor)
+	log.Info("serving", "listen", p.addr, "grpc", p.gaddr, "mgmt", p.maddr, "known", cfg.Known.Cursor)
 	return p, nil
 }
 
@@ -342,6 +353,9 @@
 	if p.grpc != nil {
 		p.grpc.Leave()
 	}
+	if p.peers != nil {
+		p.peers.Leave()
+	}
 	p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "heir", p.heir)
 	if p.inherited {
 		p.handOver(p.l.Now())
--- /dev/null
+++ b/cmd/ravenhitch/peers.go
@@ -0,0 +1,46 @@
+package main
+
+// This file joins the orchestrators that know each other with the program. It must never
+// start where the operators' file names no place for it.
+
+import (
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/manage"
+	"ravenhitch/internal/membership"
+	"ravenhitch/internal/peer"
+)
+
+// join opens the sockets between orchestrators.
+func (p *program) join(cfg config.Config, s config.Peers) error {
+	incarnation, fault, err := peer.Start(s.Folder)
+	if err != nil {
+		return err
+	}
+	if fault != "" {
+		p.log.Warn("the count of starts begins anew", "why", fault)
+	}
+	t := peer.Settings{Listen: s.Listen, Cluster: s.Cluster, Name: cfg.Name, Hall: s.Hall, Incarnation: incarnation}
+	if t.Hall == "" {
+		t.Hall = cfg.Settings.Zone
+	}
+	for _, m := range s.Members {
+		t.Members = append(t.Members, membership.Peer{Name: m.Name, Addr: m.Address})
+	}
+	if p.peers, err = peer.New(p.l, t, p.log); err != nil {
+		return err
+	}
+	p.log.Info("peers", "what", "listens", "address", p.peers.Addr())
+	return nil
+}
+
+// told is the table for whoever asks.
+func (p *program) told() []byte {
+	if p.peers == nil {
+		return manage.No("no peers: [peers] names no place in the operators' file")
+	}
+	b, err := p.peers.Table().Answer()
+	if err != nil {
+		return manage.No(err.Error())
+	}
+	return b
+}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -24,6 +24,7 @@
 	Graphite          Metrics
 	Collectd          Metrics
 	Storm             Storm
+	Peers             Peers
 	// LogLevel is the least level that is written: info, or debug for a line at
 	// each step of every request, which costs time on a busy day.
 	LogLevel slog.Level
@@ -39,6 +40,17 @@
 	EveryMs int64
 }
 
+// Peers says how orchestrators know each other; off where Listen is empty.
+type Peers struct {
+	Listen, Cluster string
+	Hall            string // "" for that of the configuration
+	Folder          string // kept from start to start, or ""
+	Members         []PeerAddress
+}
+
+// PeerAddress is where another orchestrator is reached from here.
+type PeerAddress struct{ Name, Address string }
+
 // Storm says what advice goes with refusals.
 type Storm struct {
 	Constant time.Duration // the same for all; 0: a booked time
@@ -62,6 +74,9 @@
 	return ParseEdge(path, b)
 }
 
+// repeated are the directives that may stand more than once.
+var repeated = map[string]bool{"member": true}
+
 // directives are the sections and what each directive in them sets.
 type directives map[string]map[string]func(d Directive) error
 
@@ -133,6 +148,13 @@
 				return nil
 			},
 		},
+		"peers": {
+			"listen":  word(&e.Peers.Listen, "address:port", address),
+			"cluster": word(&e.Peers.Cluster, "a name of 1 to 64 bytes", peerName),
+			"hall":    word(&e.Peers.Hall, "a name of 1 to 64 bytes", peerName),
+			"folder":  word(&e.Peers.Folder, "the absolute path of a folder", absolute),
+			"member":  e.Peers.member,
+		},
 		"storm": {
 			"advice": func(d Directive) error {
 				if len(d.Args) > 0 && d.Args[0].Text == "booked" {
@@ -152,12 +174,38 @@
 	if err == nil && (e.GRPCCert == "") != (e.GRPCKey == "") {
 		err = fmt.Errorf("%s: [grpc]: expected both cert and key, or neither", file)
 	}
+	if p := e.Peers; err == nil && (p.Listen == "") != (p.Cluster == "") {
+		err = fmt.Errorf("%s: [peers]: expected both listen and cluster, or neither", file)
+	}
 	if err != nil {
 		return Edge{}, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
 	return e, nil
 }
 
+func peerName(v string) bool { return v != "" && len(v) <= 64 }
+
+// member takes the name of another orchestrator and where it is reached.
+func (p *Peers) member(d Directive) error {
+	const want = "a name and address:port"
+	if err := d.args(2, want); err != nil {
+		return err
+	}
+	if !peerName(d.Args[0].Text) {
+		return d.Args[0].Wrong("a name of 1 to 64 bytes")
+	}
+	if _, err := netip.ParseAddrPort(d.Args[1].Text); err != nil {
+		return d.Args[1].Wrong("address:port")
+	}
+	for _, m := range p.Members {
+		if m.Name == d.Args[0].Text {
+			return d.Args[0].Wrong("each member once")
+		}
+	}
+	p.Members = append(p.Members, PeerAddress{d.Args[0].Text, d.Args[1].Text})
+	return nil
+}
+
 // names lists what is known.
 func names[V any](m map[string]V) string {
 	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
@@ -176,7 +224,7 @@
 			if take == nil {
 				return d.Name.Wrong("in [" + s.Name.Text + "] one of " + names(takes))
 			}
-			if line := seen[d.Name.Text]; line > 0 {
+			if line := seen[d.Name.Text]; line > 0 && !repeated[d.Name.Text] {
 				return d.Name.Wrong(fmt.Sprintf("each directive once; it stands in line %d", line))
 			}
 			seen[d.Name.Text] = d.Name.Line
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -120,6 +120,7 @@
 	telling   bool // events are being told: a number given back now could be taken for its old owner
 	conns     map[int]*Conn
 	listeners map[int]*listener
+	packets   map[int]*Packets
 	dead      []*Conn
 	dirty     []*Conn
 	timers    timers
@@ -151,7 +152,7 @@
 		unix.Close(ep)
 		return nil, fmt.Errorf("loop: eventfd: %w", err)
 	}
-	l := &Loop{ep: ep, wake: wake, conns: map[int]*Conn{}, listeners: map[int]*listener{},
+	l := &Loop{ep: ep, wake: wake, conns: map[int]*Conn{}, listeners: map[int]*listener{}, packets: map[int]*Packets{},
 		budget: budget, outMost: outMost, buf: make([]byte, readSize), began: time.Now()}
 	l.tick()
 	if err := l.watch(wake, unix.EPOLLIN, unix.EPOLL_CTL_ADD); err != nil {
@@ -655,6 +656,8 @@
 				_, _ = unix.Read(l.wake, b[:])
 			case l.listeners[fd] != nil:
 				l.acceptAll(l.listeners[fd])
+			case l.packets[fd] != nil:
+				l.packets[fd].ready()
 			default:
 				if c := l.conns[fd]; c != nil && !c.closed {
 					c.ready(e.Events)
@@ -720,6 +723,9 @@
 	for fd := range l.listeners {
 		unix.Close(fd)
 	}
+	for fd := range l.packets {
+		unix.Close(fd)
+	}
 	l.telling = true // the map is being walked
 	for _, c := range l.conns {
 		c.drop()
--- a/internal/manage/call.go
+++ b/internal/manage/call.go
@@ -21,6 +21,7 @@
 	Dump    Verb = "DUMP"
 	Offline Verb = "OFFLINE"
 	Online  Verb = "ONLINE"
+	Peers   Verb = "PEERS"
 )
 
 // Call is one line of a caller.
@@ -39,15 +40,15 @@
 func ParseCall(line string) (Call, error) {
 	words := strings.Fields(line)
 	if len(words) == 0 {
-		return Call{}, fmt.Errorf("%w: expected HEALTH, DUMP, OFFLINE ID or ONLINE ID, got an empty line", ErrCall)
+		return Call{}, fmt.Errorf("%w: expected HEALTH, DUMP, PEERS, OFFLINE ID or ONLINE ID, got an empty line", ErrCall)
 	}
 	c, want := Call{Verb: Verb(words[0])}, 1
 	switch c.Verb {
-	case Health, Dump:
+	case Health, Dump, Peers:
 	case Offline, Online:
 		want = 2
 	default:
-		return Call{}, fmt.Errorf("%w: expected HEALTH, DUMP, OFFLINE ID or ONLINE ID, got %.40q", ErrCall, words[0])
+		return Call{}, fmt.Errorf("%w: expected HEALTH, DUMP, PEERS, OFFLINE ID or ONLINE ID, got %.40q", ErrCall, words[0])
 	}
 	if len(words) != want {
 		return Call{}, fmt.Errorf("%w: %s: expected %d words, got %d", ErrCall, c.Verb, want, len(words))
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,150 @@
+package peer
+
+// This file owns the form of messages on the wire, and the bounds of what is taken: a
+// message past one is no message. It must never keep bytes that it was handed.
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+
+	"ravenhitch/internal/membership"
+	"ravenhitch/internal/peer/peerpb"
+)
+
+// The versions that this program speaks.
+const (
+	Lowest  = 1
+	Highest = 1
+)
+
+const (
+	frameMost    = 64 << 10
+	rumoursMost  = 64
+	featuresMost = 64
+)
+
+// The errors of what others send.
+var (
+	ErrForm    = errors.New("peer: malformed message")
+	ErrCluster = errors.New("peer: of another cluster")
+	ErrVersion = errors.New("peer: no version in common")
+)
+
+func rumourOut(r *membership.Rumour) *peerpb.Rumour {
+	o := &peerpb.Rumour{Name: r.Name, Hall: r.Hall, Address: r.Addr, Life: r.Life, Incarnation: r.Incarnation, State: uint32(r.State)}
+	for _, w := range r.Witnesses {
+		o.Witnesses = append(o.Witnesses, &peerpb.Witness{Name: w.Name, Hall: w.Hall, Refused: w.Refused})
+	}
+	return o
+}
+
+func rumourIn(r *peerpb.Rumour) (o membership.Rumour, err error) {
+	if !named(r.GetName()) || len(r.GetHall()) > membership.NameMost || r.GetState() > uint32(membership.Left) || len(r.GetWitnesses()) > membership.WitnessMost {
+		return o, fmt.Errorf("%w: expected a name, a hall, a state and at most %d witnesses, got name %.40q, state %d, %d witnesses",
+			ErrForm, membership.WitnessMost, r.GetName(), r.GetState(), len(r.GetWitnesses()))
+	}
+	if _, err := netip.ParseAddrPort(r.GetAddress()); err != nil || len(r.GetAddress()) > membership.NameMost {
+		return o, fmt.Errorf("%w: %s: expected address:port, got %.60q", ErrForm, r.GetName(), r.GetAddress())
+	}
+	o = membership.Rumour{Name: r.GetName(), Hall: r.GetHall(), Addr: r.GetAddress(), Life: r.GetLife(), Incarnation: r.GetIncarnation(),
+		State: membership.State(r.GetState())}
+	for _, w := range r.GetWitnesses() {
+		if !named(w.GetName()) || len(w.GetHall()) > membership.NameMost {
+			return o, fmt.Errorf("%w: %s: expected the name of a witness, got %.40q", ErrForm, r.GetName(), w.GetName())
+		}
+		o.Witnesses = append(o.Witnesses, membership.Witness{Name: w.GetName(), Hall: w.GetHall(), Refused: w.GetRefused()})
+	}
+	return o, nil
+}
+
+func named(s string) bool { return s != "" && len(s) <= membership.NameMost }
+
+// Encode writes a datagram.
+func Encode(cluster string, m *membership.Message) ([]byte, error) {
+	d := &peerpb.Datagram{Cluster: cluster, Version: Lowest, Kind: uint32(m.Kind), To: m.To, Self: rumourOut(&m.Self), Joining: m.Joining,
+		Seq: m.Seq, Target: m.Target, For: m.For, ForSeq: m.ForSeq, Heard: m.Heard, Reached: m.Reached, Digests: m.Digests}
+	for i := range m.Rumours {
+		d.Rumours = append(d.Rumours, rumourOut(&m.Rumours[i]))
+	}
+	return proto.Marshal(d)
+}
+
+// Decode reads a datagram.
+func Decode(cluster string, b []byte) (*membership.Message, error) {
+	var d peerpb.Datagram
+	if err := proto.Unmarshal(b, &d); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	if d.GetCluster() != cluster {
+		return nil, fmt.Errorf("%w: expected %q, got %.40q from %.40q", ErrCluster, cluster, d.GetCluster(), d.GetSelf().GetName())
+	}
+	if d.GetVersion() > Highest {
+		return nil, fmt.Errorf("%w: %.40q needs version %d, this program speaks %d to %d", ErrVersion, d.GetSelf().GetName(), d.GetVersion(), Lowest, Highest)
+	}
+	m := &membership.Message{Kind: membership.Kind(d.GetKind()), To: d.GetTo(), Joining: d.GetJoining(), Seq: d.GetSeq(), Target: d.GetTarget(),
+		For: d.GetFor(), ForSeq: d.GetForSeq(), Heard: d.GetHeard(), Reached: d.GetReached(), Digests: d.GetDigests()}
+	if d.GetKind() < uint32(membership.Ping) || d.GetKind() > uint32(membership.Told) || !named(m.To) || len(m.Target) > membership.NameMost ||
+		len(m.For) > membership.NameMost || len(m.Digests) > membership.Shelves || len(d.GetRumours()) > rumoursMost {
+		return nil, fmt.Errorf("%w: a datagram of kind %d to %.40q with %d rumours", ErrForm, d.GetKind(), d.GetTo(), len(d.GetRumours()))
+	}
+	var err error
+	if m.Self, err = rumourIn(d.GetSelf()); err != nil {
+		return nil, err
+	}
+	for _, r := range d.GetRumours() {
+		o, err := rumourIn(r)
+		if err != nil {
+			return nil, err
+		}
+		m.Rumours = append(m.Rumours, o)
+	}
+	return m, nil
+}
+
+// Frame writes a message with its length before it.
+func Frame(m proto.Message) ([]byte, error) {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > frameMost {
+		return nil, fmt.Errorf("%w: %d bytes of at most %d", ErrForm, len(b), frameMost)
+	}
+	return append(binary.AppendUvarint(nil, uint64(len(b))), b...), nil
+}
+
+// Unframe finds the first message in b; used is 0 where it has not come whole. What a
+// length claims is never set aside: the bytes are waited for as they come.
+func Unframe(b []byte) (message []byte, used int, err error) {
+	n, k := binary.Uvarint(b)
+	switch {
+	case k < 0 || k > 0 && n > frameMost || k == 0 && len(b) >= binary.MaxVarintLen64:
+		return nil, 0, fmt.Errorf("%w: expected a message of at most %d bytes", ErrForm, frameMost)
+	case k == 0 || uint64(len(b)-k) < n:
+		return nil, 0, nil
+	}
+	return b[k : k+int(n)], k + int(n), nil
+}
+
+// Greet checks a peer's hello, and agrees on the highest version that both speak.
+func Greet(cluster string, b []byte) (h *peerpb.Hello, version uint32, err error) {
+	h = &peerpb.Hello{}
+	if err := proto.Unmarshal(b, h); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	if !named(h.GetName()) || len(h.GetFeatures()) > featuresMost {
+		return nil, 0, fmt.Errorf("%w: a hello from %.40q with %d features", ErrForm, h.GetName(), len(h.GetFeatures()))
+	}
+	if h.GetCluster() != cluster {
+		return nil, 0, fmt.Errorf("%w: expected %q, got %.40q from %s", ErrCluster, cluster, h.GetCluster(), h.GetName())
+	}
+	version = min(Highest, h.GetHighest())
+	if version < max(Lowest, h.GetLowest()) {
+		return nil, 0, fmt.Errorf("%w: %s speaks %d to %d, this program %d to %d", ErrVersion, h.GetName(), h.GetLowest(), h.GetHighest(), Lowest, Highest)
+	}
+	return h, version, nil
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,240 @@
+// Package peer owns the sockets between orchestrators, on the one loop: datagrams for the
+// table of members, connections that greet each other. What it hears it hands to the pure
+// table (package membership), and does what that wants done. It must never decide who is
+// alive, never wait, and never let a peer's nonsense reach the table: one who sends it is
+// cut off with one line.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+
+	"golang.org/x/sys/unix"
+
+	"ravenhitch/internal/loop"
+	"ravenhitch/internal/membership"
+	"ravenhitch/internal/peer/peerpb"
+	"ravenhitch/internal/platform"
+)
+
+// Settings say who this orchestrator is among the others.
+type Settings struct {
+	Listen, Cluster, Name, Hall string
+	Members                     []membership.Peer // that are asked first
+	Incarnation                 uint64            // this start's, greater than any before that is known of
+}
+
+const (
+	// knockFor is how long a door is knocked at, guestFor how long a guest may take to greet.
+	knockFor = 500_000
+	guestFor = 2_000_000
+	// guestsMost bounds the guests at a time.
+	guestsMost = 32
+)
+
+// Counts are what passed between this orchestrator and the others.
+type Counts struct {
+	Sent, SentBytes, Received, ReceivedBytes, Lost, Refused int64
+	Knocks                                                  int64
+}
+
+// Peers joins the table with its sockets.
+type Peers struct {
+	l      *loop.Loop
+	s      Settings
+	log    *slog.Logger
+	warn   *platform.Limited
+	table  *membership.Table
+	socket *loop.Packets
+	counts Counts
+	guests int
+	life   uint64
+	tick   *loop.Timer
+	closed bool
+}
+
+// New opens the sockets. The table begins to ask with the first turn.
+func New(l *loop.Loop, s Settings, log *slog.Logger) (*Peers, error) {
+	p := &Peers{l: l, s: s, log: log, warn: platform.NewLimited(log), life: rand.Uint64()}
+	addr, err := l.Listen(s.Listen, func() bool { return p.guests < guestsMost }, func() loop.Handler { return &guest{p: p} })
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	if p.socket, err = l.Packets(addr, p.take); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	p.s.Listen = addr
+	p.table = membership.New(l.Now(), membership.Config{Self: membership.Rumour{Name: s.Name, Hall: s.Hall, Addr: addr, Life: p.life,
+		Incarnation: s.Incarnation}, Peers: s.Members, Seed: rand.Uint64()})
+	p.turn()
+	return p, nil
+}
+
+// Addr is where others reach this one.
+func (p *Peers) Addr() string { return p.s.Listen }
+
+// turn has the table do what is due, and comes again.
+func (p *Peers) turn() {
+	if p.closed {
+		return
+	}
+	p.do(p.table.Tick(p.l.Now()))
+	p.tick = p.l.At(max(p.table.Next(), p.l.Now()+1), p.turn)
+}
+
+// take hands a datagram to the table.
+func (p *Peers) take(b []byte) {
+	p.counts.Received++
+	p.counts.ReceivedBytes += int64(len(b))
+	m, err := Decode(p.s.Cluster, b)
+	if err != nil {
+		p.counts.Refused++
+		p.warn.Warn("a datagram of a peer is not taken", "err", err)
+		return
+	}
+	p.do(p.table.Receive(p.l.Now(), m))
+}
+
+// do carries out what the table wants, and says what it found.
+func (p *Peers) do(acts []membership.Act) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case membership.Send:
+			b, err := Encode(p.s.Cluster, &a.Message)
+			if err == nil {
+				err = p.socket.Send(a.Addr, b)
+			}
+			if err != nil {
+				p.counts.Lost++
+				p.warn.Warn("a datagram to a peer is lost", "to", a.Message.To, "err", err)
+				continue
+			}
+			p.counts.Sent++
+			p.counts.SentBytes += int64(len(b))
+		case membership.Knock:
+			p.knock(a)
+		}
+	}
+	for _, e := range p.table.Events() {
+		p.log.Info("peers", "what", e.Kind.String(), "member", e.Name, "hall", e.Hall, "evidence", e.Evidence)
+	}
+}
+
+// Leave tells the others that this one goes on purpose.
+func (p *Peers) Leave() { p.do(p.table.Leave(p.l.Now())) }
+
+// Counts returns what passed so far.
+func (p *Peers) Counts() Counts { return p.counts }
+
+func (p *Peers) hello() []byte {
+	b, err := Frame(&peerpb.Hello{Cluster: p.s.Cluster, Name: p.s.Name, Life: p.life, Lowest: Lowest, Highest: Highest})
+	if err != nil { // names are bounded by the settings: this can't happen
+		p.log.Error("peers: the hello has no form", "err", err)
+	}
+	return b
+}
+
+// knock tries whether a process listens, and which.
+func (p *Peers) knock(a membership.Knock) {
+	p.counts.Knocks++
+	k := &knock{p: p, name: a.Name}
+	c, err := p.l.Dial(a.Addr, knockFor, k)
+	if err != nil {
+		p.knocked(a.Name, 0, err)
+		return
+	}
+	k.timer = p.l.After(knockFor, func() {
+		c.Close()
+		p.knocked(a.Name, 0, loop.ErrTimeout)
+	})
+}
+
+// knocked tells the table: a refusal comes from the system of the other machine, and all
+// else that is no greeting is silence.
+func (p *Peers) knocked(name string, life uint64, err error) {
+	door := membership.Answered
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		door = membership.Refused
+	case err != nil:
+		door = membership.Silent
+	}
+	p.do(p.table.Knocked(p.l.Now(), name, life, door))
+}
+
+// knock is a connection that this orchestrator began.
+type knock struct {
+	p     *Peers
+	name  string
+	timer *loop.Timer
+}
+
+// Opened implements loop.Handler.
+func (k *knock) Opened(c *loop.Conn) { c.Write(k.p.hello()) }
+
+// Closed implements loop.Handler.
+func (k *knock) Closed(_ *loop.Conn, err error) {
+	k.timer.Stop()
+	k.p.knocked(k.name, 0, err)
+}
+
+// Data implements loop.Handler.
+func (k *knock) Data(c *loop.Conn, b []byte) (int, error) {
+	m, used, err := Unframe(b)
+	if err != nil || used == 0 {
+		return 0, err
+	}
+	h, _, err := Greet(k.p.s.Cluster, m)
+	if err == nil && h.GetName() != k.name {
+		err = fmt.Errorf("%w: %s answers at the address of %s", ErrForm, h.GetName(), k.name)
+	}
+	if err != nil {
+		k.p.counts.Refused++
+		k.p.warn.Warn("a peer is cut off", "member", k.name, "err", err)
+		return 0, err
+	}
+	k.timer.Stop()
+	c.Close()
+	k.p.knocked(k.name, h.GetLife(), nil)
+	return used, nil
+}
+
+// guest is a connection that another one began.
+type guest struct {
+	p     *Peers
+	timer *loop.Timer
+}
+
+// Opened implements loop.Handler.
+func (g *guest) Opened(c *loop.Conn) {
+	g.p.guests++
+	g.timer = g.p.l.After(guestFor, func() {
+		g.p.guests--
+		c.Close()
+	})
+}
+
+// Closed implements loop.Handler.
+func (g *guest) Closed(*loop.Conn, error) {
+	g.timer.Stop()
+	g.p.guests--
+}
+
+// Data implements loop.Handler.
+func (g *guest) Data(c *loop.Conn, b []byte) (int, error) {
+	m, used, err := Unframe(b)
+	if err == nil && used > 0 {
+		_, _, err = Greet(g.p.s.Cluster, m)
+	}
+	if err != nil {
+		g.p.counts.Refused++
+		g.p.warn.Warn("a peer is cut off", "err", err)
+		return 0, err
+	}
+	if used > 0 {
+		c.Write(g.p.hello())
+	}
+	return used, nil
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+)
+
+// This file owns the deployment that rigs start orchestrators for: its classes and limits.
+
+// Deployment is what all orchestrators of a rig share.
+type Deployment struct {
+	Orchestrators int
+	Longest       time.Duration // the longest advice
+}
+
+// Settings are those of one orchestrator.
+func (d Deployment) Settings(k int) string {
+	return fmt.Sprintf(`{"SelfIndex":%d,"FleetSize":%d,"Zone":"hall-%c","Discovery":"subscribe","TickUs":2000,
+ "Flavors":["node-32","node-64"],"FamilyInfo":{"View":true,"SaysYes":"accepted","CoresMultiple":1.0,"MemoryMultiple":1.0,
+ "SizeCores":[28,56],"MemoryByKind":[60,120],"UnitCores":0.83,"UnitMemory":1.78,"Counts":"asked","ApartBy":["none","none","none"],
+ "CalmLevel":[0.8,0.8,0.8],"LostAfter":[0.25,0.25,0.25],"KindByClass":[-1,-1,-1],"ClassMost":[0,0,0],"ClassStartS":[10,10,8],
+ "FreshOffers":25.0},"Limits":{"AttemptsCap":3,"Probes":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":%d},
+ "Report":{"How":"answers","Fields":["x0","x1"]},"Parties":[],
+ "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.21,"ColdUs":16000000,"DrainGraceUs":2000000,
+ "FallMultiple":4.0,"OverloadForUs":3000000},"RequestClasses":[
+ {"Name":"guide-web","Semantics":"free","Group":"all","OnTimeUs":1000000,"DeadlineUs":6000000,"Importance":1.0,"WindowUs":5000000},
+ {"Name":"live-relay","Semantics":"free","Group":"all","OnTimeUs":700000,"DeadlineUs":5000000,"Importance":3.0,"WindowUs":5000000},
+ {"Name":"archive-cut","Semantics":"single_shot","Group":"all","OnTimeUs":6000000,"DeadlineUs":10000000,"Importance":5.0,
+  "WindowUs":5000000}]}`, k, d.Orchestrators, 'a'+k%3, d.Longest.Microseconds())
+}
+
+// Config is the configuration of one orchestrator; mgmt may be "".
+func (d Deployment) Config(k int, listen, mgmt string, seed uint64, f *Feed) string {
+	return fmt.Sprintf(`{"name":"n%d","listen":%q,"mgmt":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+		"channel":%q,"known":%s,"settings":%s}`, k, listen, mgmt, seed, f.Srv.Listener.Addr(), f.Known(0), d.Settings(k))
+}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -22,6 +22,7 @@
 // foreign answer). With one, the Machine answers.
 type Minion struct {
 	Name   string
+	Kind   string    // of its machine, as the list has it; "std" unless it is set
 	Starts chan Line // set-ups, in order; without a Machine only
 	Ends   chan Line // releases; the same
 	// Cut are the set-ups whose connection closed before the orchestrator
@@ -52,7 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &Minion{Name: name, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
+	m := &Minion{Name: name, Kind: "std", ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
 		Cut: make(chan Line, cutMost), by: map[string]net.Conn{}, conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
 	m.came = sync.NewCond(&m.mu)
 	go func() {
@@ -305,8 +306,8 @@
 
 // Member is its line of the list.
 func (m *Minion) Member(phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"hall-a","flavor":"std","cell":1,"phase":%q,"size":1,`+
-		`"up_since_ms":0,"spare":[32,64]}`, m.Name, m.Addr(), phase)
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"hall-a","flavor":%q,"cell":1,"phase":%q,"size":1,`+
+		`"up_since_ms":0,"spare":[32,64]}`, m.Name, m.Addr(), m.Kind, phase)
 }
 
 // Deaf refuses new connections; open ones stay.
--- a/test/storm/flood_test.go
+++ b/test/storm/flood_test.go
@@ -72,7 +72,7 @@
 	}
 	close(begin)
 	done.Wait()
-	r.orch[0].end(9)
+	r.orch[0].End(9)
 	return late, answers
 }
 
--- a/test/storm/rig_test.go
+++ b/test/storm/rig_test.go
@@ -4,13 +4,10 @@
 package storm
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -109,13 +106,10 @@
 
 // orchestrator is one process, which may be started anew under its address.
 type orchestrator struct {
-	r     *rig
-	i     int
-	addr  string
-	cmd   *exec.Cmd
-	ended chan struct{}
-	lines []string
-	mu    sync.Mutex
+	standin.Process
+	r    *rig
+	i    int
+	addr string
 }
 
 // watch notes what machines do.
@@ -200,7 +194,7 @@
 		r.minions = append(r.minions, ms)
 		feed := standin.NewFeed(t)
 		r.feeds = append(r.feeds, feed)
-		r.orch = append(r.orch, &orchestrator{r: r, i: k})
+		r.orch = append(r.orch, &orchestrator{Process: standin.Process{Name: fmt.Sprint("n", k)}, r: r, i: k})
 	}
 	r.watch.history.now()
 	r.tell(true, r.rooms())
@@ -213,7 +207,7 @@
 		close(r.stop)
 		<-done
 		for _, o := range r.orch {
-			o.end(syscall.SIGKILL)
+			o.End(syscall.SIGKILL)
 		}
 	})
 	return r
@@ -256,21 +250,6 @@
 	}
 }
 
-func (r *rig) settings(k int) string {
-	return fmt.Sprintf(`{"SelfIndex":%d,"FleetSize":%d,"Zone":"hall-%c","Discovery":"subscribe","TickUs":2000,
- "Flavors":["node-32","node-64"],"FamilyInfo":{"View":true,"SaysYes":"accepted","CoresMultiple":1.0,"MemoryMultiple":1.0,
- "SizeCores":[28,56],"MemoryByKind":[60,120],"UnitCores":0.83,"UnitMemory":1.78,"Counts":"asked","ApartBy":["none","none","none"],
- "CalmLevel":[0.8,0.8,0.8],"LostAfter":[0.25,0.25,0.25],"KindByClass":[-1,-1,-1],"ClassMost":[0,0,0],"ClassStartS":[10,10,8],
- "FreshOffers":25.0},"Limits":{"AttemptsCap":3,"Probes":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":%d},
- "Report":{"How":"answers","Fields":["x0","x1"]},"Parties":[],
- "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.21,"ColdUs":16000000,"DrainGraceUs":2000000,
- "FallMultiple":4.0,"OverloadForUs":3000000},"RequestClasses":[
- {"Name":"guide-web","Semantics":"free","Group":"all","OnTimeUs":1000000,"DeadlineUs":6000000,"Importance":1.0,"WindowUs":5000000},
- {"Name":"live-relay","Semantics":"free","Group":"all","OnTimeUs":700000,"DeadlineUs":5000000,"Importance":3.0,"WindowUs":5000000},
- {"Name":"archive-cut","Semantics":"single_shot","Group":"all","OnTimeUs":6000000,"DeadlineUs":10000000,"Importance":5.0,
-  "WindowUs":5000000}]}`, k, len(r.orch), 'a'+k%3, r.longest.Microseconds())
-}
-
 // start starts an orchestrator, and returns once it serves.
 func (o *orchestrator) start() {
 	listen := o.addr
@@ -278,51 +257,19 @@
 		listen = "127.0.0.1:0"
 	}
 	path := filepath.Join(o.r.dir, fmt.Sprintf("config%d.json", o.i))
-	text := fmt.Sprintf(`{"name":"n%d","listen":%q,"seed":"%x","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-		"channel":%q,"known":%s,"settings":%s}`, o.i, listen, 0x8c1f30d2+time.Now().UnixNano()%1000+int64(o.i)*1000, o.r.feeds[o.i].Srv.Listener.Addr(),
-		o.r.feeds[o.i].Known(0), o.r.settings(o.i))
+	text := standin.Deployment{Orchestrators: len(o.r.orch), Longest: o.r.longest}.Config(o.i, listen, "",
+		uint64(0x8c1f30d2+time.Now().UnixNano()%1000+int64(o.i)*1000), o.r.feeds[o.i])
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		o.r.t.Error(err)
 		return
 	}
-	cmd := exec.Command(o.r.bin, "-conf", o.r.conf)
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_LISTEN=", "ROUTER_NAME=")
-	log, err := cmd.StderrPipe()
+	o.Process.Bin, o.Process.Args = o.r.bin, []string{"-conf", o.r.conf}
+	o.Process.Env = []string{"ROUTER_CONFIG=" + path, "ROUTER_LISTEN=", "ROUTER_NAME=", "ROUTER_MGMT="}
+	err := o.Process.Start()
 	if err == nil {
-		err = cmd.Start()
+		o.addr, err = o.Process.Says(fmt.Sprintf("msg=serving name=n%d listen=", o.i))
 	}
 	if err != nil {
 		o.r.t.Error(err)
-		return
-	}
-	serving, ended := make(chan string, 1), make(chan struct{})
-	go func() {
-		defer close(ended)
-		for s := bufio.NewScanner(log); s.Scan(); {
-			o.mu.Lock()
-			o.lines = append(o.lines, s.Text())
-			o.mu.Unlock()
-			if _, addr, ok := strings.Cut(s.Text(), "msg=serving name="); ok {
-				_, addr, _ = strings.Cut(addr, "listen=")
-				serving <- strings.Fields(addr)[0]
-			}
-		}
-		cmd.Wait()
-	}()
-	select {
-	case o.addr = <-serving:
-	case <-ended:
-		o.r.t.Errorf("orchestrator %d did not start: %v", o.i, o.lines)
-	case <-time.After(standin.Patience):
-		o.r.t.Errorf("orchestrator %d does not serve", o.i)
-	}
-	o.cmd, o.ended = cmd, ended
-}
-
-// end ends the process by a signal and waits for that.
-func (o *orchestrator) end(s syscall.Signal) {
-	if o.cmd != nil {
-		o.cmd.Process.Signal(s)
-		<-o.ended
 	}
 }
--- a/test/storm/storm_test.go
+++ b/test/storm/storm_test.go
@@ -201,7 +201,7 @@
 			defer close(restarted)
 			for i, p := range r.orch {
 				time.Sleep(time.Until(o.begin.Add(time.Duration(i)*1500*ms - 500*ms)))
-				p.end(syscall.SIGKILL)
+				p.End(syscall.SIGKILL)
 				time.Sleep(700 * ms)
 				p.start()
 				handed.Add(int64(o.handOver(i)))
@@ -219,17 +219,15 @@
 	f.used = <-used
 	f.read(t, r, o, results, s.calm)
 	for _, p := range r.orch {
-		p.end(syscall.SIGKILL)
+		p.End(syscall.SIGKILL)
 	}
 	f.history = r.watch.history.check(time.Minute)
 	for _, p := range r.orch {
-		p.mu.Lock()
-		for _, l := range p.lines {
+		for _, l := range p.Lines() {
 			if strings.Contains(l, "storm") || strings.Contains(l, "ERROR") || strings.Contains(l, "deadline") {
 				t.Log(l)
 			}
 		}
-		p.mu.Unlock()
 	}
 	return f
 }
