Open a connection for an end that crosses the close of an older, lively one

Cause: prune (internal/platform/nodes.go) closes an older connection on which the minion has just answered.

--- a/cmd/ravenhitch/giveup_test.go
+++ b/cmd/ravenhitch/giveup_test.go
@@ -266,6 +266,30 @@
 			for l := f.take(t); l.Tag != tag || l.Verb != "FINISH"; l = f.take(t) {
 			}
 		}},
+		// An end crosses the close of an older connection, on which the minion has just
+		// answered: it is told again on the next one opened, which there must be.
+		{"ended as an older connection is closed", []string{"a"}, func(t *testing.T, f *field) {
+			tag := f.attempts.Standing("a")[0]
+			f.tags++
+			late := standin.Tag(f.tags) // of a class whose attempts are not given up early
+			standin.Send(f, standin.SetUp(late, "archive-cut", "silent-late", 10_000))
+			f.soon(t, "the offer", func() bool { return slices.Contains(f.attempts.Open(), late) })
+			dials, _ := f.minions[0].Dials()
+			f.soon(t, "another connection", func() bool { // once the minion is silent for long
+				time.Sleep(450 * time.Millisecond) // the owner's pace, and the minion's silence
+				f.ask("ok", 1, 5000)
+				now, _ := f.minions[0].Dials()
+				return now > dials
+			})
+			f.links["a"].Delay(300 * time.Millisecond)
+			f.minions[0].Yes(late)
+			for f.got[late] == "" {
+				f.take(t)
+			}
+			f.minions[0].Tell(tag, 16)
+			for l := f.take(t); l.Tag != tag || l.Verb != "FINISH"; l = f.take(t) {
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newField(t, c.minions...)
--- a/internal/platform/ear.go
+++ b/internal/platform/ear.go
@@ -3,7 +3,8 @@
 // This file owns the connections that are opened only to hear of ends. A minion tells
 // the end of a task on the connection of its set-up while it believes in that, and on
 // the next one opened. Where such a connection was closed here, or died, and the minion
-// does not know, the end comes only on one that is opened after it. An ear carries no
+// does not know, the end comes only on one that is opened after it. Where the minion hears
+// of a close, that holds for the ends that crossed it, and one ear is enough. An ear carries no
 // offer, so that its own end loses nothing, and must never take one.
 
 import (
@@ -25,7 +26,8 @@
 // listen opens an ear where tasks stand whose set-up came by a connection that is
 // gone, unless another connection was opened in time.
 func (k *link) listen(held core.Holding, now int64) {
-	if held.Tasks == 0 || held.Since >= k.goneAt || now-k.openedAt < earEvery || k.n.l.Free() < earRoom {
+	unknown, crossed := held.Since < k.goneAt, held.Since < k.prunedAt && k.openedAt <= k.prunedAt
+	if held.Tasks == 0 || !unknown && !crossed || now-max(k.openedAt, k.prunedAt) < earEvery || k.n.l.Free() < earRoom {
 		return
 	}
 	if n := len(k.conns); n == 0 || !k.conns[n-1].c.Up() {
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -66,7 +66,8 @@
 		n.trace("give up on the wire", tag, "node", node, "left", s.left(nc.c), "written", s.end > 0, "quiet_us", n.l.Now()-nc.readAt)
 		switch {
 		case s.end == 0: // it never left
-		case nc.readAt >= s.at && nc.giveUp(tag):
+		case nc.readAt >= s.at:
+			nc.giveUp(tag)
 			sure = false
 		default:
 			nc.end(errSilent)
@@ -79,16 +80,16 @@
 	return sure
 }
 
-// giveUp writes a give-up, ahead of all that is written after it on any connection.
-// It reports whether the system took it.
-func (nc *nodeConn) giveUp(tag string) bool {
+// giveUp writes a give-up, ahead of all that is written after it on any connection. Where
+// the system does not take it whole, the test behind it is not answered either.
+func (nc *nodeConn) giveUp(tag string) {
 	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 	if nc.ends.any() {
 		nc.ends.next = append(nc.ends.next, tag)
 	} else {
 		nc.prove([]string{tag})
 	}
-	return nc.c.Push()
+	nc.c.Push()
 }
 
 // prove writes a test behind give-ups. One is out at a time: tests cost the minion work.
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -130,6 +130,7 @@
 	unheard  map[string]int64 // releases of tasks that stand, and when they were first written
 	goneAt   int64            // when a connection last ended that the minion may believe in
 	openedAt int64            // when one last came up, or an ear was opened
+	prunedAt int64            // when one was last closed here that the minion believed in till then
 }
 
 // nodeConn is one connection to a minion.
@@ -367,6 +368,7 @@
 func (k *link) prune() {
 	for i := 0; i < len(k.conns)-1; {
 		if nc := k.conns[i]; len(nc.open) == 0 && k.conns[len(k.conns)-1].c.Up() {
+			k.prunedAt = k.n.l.Now()
 			nc.end(nil)
 			continue
 		}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -133,6 +133,17 @@
 	m.mu.Unlock()
 }
 
+// Yes answers a set-up that it was silent about.
+func (m *Minion) Yes(tag string) {
+	m.mu.Lock()
+	c := m.by[tag]
+	m.held[tag] = true
+	m.mu.Unlock()
+	m.Attempts.stands(m.Name, tag)
+	blob := m.Name + " holds " + tag
+	Send(c, Line{Verb: "STARTED", Tag: tag, Opts: map[string]string{}, Blob: &blob})
+}
+
 // Die closes it for good, with a reset for whoever is connected.
 func (m *Minion) Die() {
 	m.ln.Close()
