--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 )
 
@@ -24,7 +23,7 @@
 }
 
 // NewFeed returns a channel without events.
-func NewFeed(t testing.TB) *Feed {
+func NewFeed(t Host) *Feed {
 	f := &Feed{more: make(chan struct{}), Asked: make(chan int, 1000)}
 	f.Srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		after, _ := strconv.Atoi(r.URL.Query().Get("resume"))
@@ -76,7 +75,7 @@
 
 // Heard waits until the program asks for what follows all events so far, which
 // it does once it has applied them.
-func (f *Feed) Heard(t testing.TB) {
+func (f *Feed) Heard(t Host) {
 	t.Helper()
 	f.mu.Lock()
 	n := len(f.events)
--- /dev/null
+++ b/internal/standin/fleet/rig.go
@@ -0,0 +1,180 @@
+// Package fleet is the rig: orchestrators as processes of the real program that know each
+// other through relays which fail by a schedule, with nodes and owners on loopback. It owns
+// what it starts, and leaves nothing running. What must hold it judges from what it did, and
+// never from what the orchestrators say of each other.
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ravenhitch/internal/standin"
+)
+
+// Options say what a fleet is made of.
+type Options struct {
+	Programs      []string // builds, taken in turn
+	Dir           string   // for settings and kept folders
+	Orchestrators int
+	Nodes         int // 0: four
+	Seed          uint64
+	Alone         bool // they do not know each other
+}
+
+// Node is one orchestrator.
+type Node struct {
+	standin.Process
+	Hall       string
+	dir        string
+	addr, mgmt string
+	listen     string     // for its peers
+	mu         sync.Mutex // of what the schedule changes
+	born       time.Time
+	ending     bool // a signal that ends it is on its way
+	pausedAt   time.Time
+	pausedFor  time.Duration
+}
+
+// Fleet is what is played with.
+type Fleet struct {
+	h       standin.Host
+	net     *standin.Net
+	Nodes   []*Node
+	feed    *standin.Feed
+	begin   time.Time
+	mu      sync.Mutex // of what the schedule changes
+	healed  time.Time
+	samples []Sample
+	applied []Applied
+	tags    atomic.Int64
+	stop    chan struct{}
+	wait    sync.WaitGroup
+}
+
+// Applied is a step and when it was carried out.
+type Applied struct {
+	standin.Step
+	at time.Time
+}
+
+// New starts a fleet in three halls.
+func New(h standin.Host, o Options) *Fleet {
+	h.Helper()
+	r := &Fleet{h: h, net: standin.NewNet(o.Seed), feed: standin.NewFeed(h), stop: make(chan struct{})}
+	h.Cleanup(r.close)
+	if o.Nodes == 0 {
+		o.Nodes = 4
+	}
+	var members []string
+	for i := range o.Nodes {
+		m := standin.NewMinion(h, fmt.Sprintf("s-%08x", 0xc41f00+i))
+		m.Kind = "node-32"
+		r.wait.Go(func() { // nobody reads what it notes
+			for {
+				select {
+				case <-m.Starts:
+				case <-m.Ends:
+				case <-r.stop:
+					return
+				}
+			}
+		})
+		members = append(members, m.Member("up"))
+	}
+	r.feed.Add(true, members...)
+	for i := range o.Orchestrators {
+		x := &Node{Hall: fmt.Sprintf("hall-%c", 'a'+i%3), Process: standin.Process{Name: fmt.Sprint("n", i)}}
+		x.dir = filepath.Join(o.Dir, x.Name)
+		if err := os.MkdirAll(x.dir, 0o700); err != nil {
+			h.Fatal(err)
+		}
+		for _, a := range []*string{&x.addr, &x.mgmt, &x.listen} {
+			var err error
+			if *a, err = r.net.Place(); err != nil {
+				h.Fatal(err)
+			}
+		}
+		r.Nodes = append(r.Nodes, x)
+	}
+	for i, x := range r.Nodes {
+		if err := r.settle(i, x, o); err != nil {
+			h.Fatal(err)
+		}
+	}
+	for _, x := range r.Nodes {
+		if err := r.start(x); err != nil {
+			h.Fatal(err)
+		}
+	}
+	r.begin = time.Now()
+	return r
+}
+
+// settle writes the settings of an orchestrator.
+func (r *Fleet) settle(i int, x *Node, o Options) error {
+	var conf strings.Builder
+	if !o.Alone {
+		fmt.Fprintf(&conf, "[peers]\nlisten %s\ncluster rig\nfolder %s\n", x.listen, x.dir)
+		for _, to := range r.Nodes {
+			if to == x {
+				continue
+			}
+			way, err := r.net.Relay(x.Name, to.Name)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(&conf, "member %s %s\n", to.Name, way)
+		}
+	}
+	path := filepath.Join(x.dir, "config.json")
+	d := standin.Deployment{Orchestrators: o.Orchestrators, Longest: 3 * time.Second}
+	for name, text := range map[string]string{path: d.Config(i, x.addr, x.mgmt, o.Seed+uint64(i)*1000, r.feed), path + ".conf": conf.String()} {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	x.Bin, x.Args = o.Programs[i%len(o.Programs)], []string{"-conf", path + ".conf"}
+	x.Env = []string{"ROUTER_CONFIG=" + path, "ROUTER_LISTEN=", "ROUTER_NAME=", "ROUTER_MGMT=", "ROUTER_INHERITED_FD=", "TMPDIR=" + x.dir}
+	return nil
+}
+
+// start starts an orchestrator and returns once it serves.
+func (r *Fleet) start(x *Node) error {
+	if err := x.Start(); err != nil {
+		return err
+	}
+	if _, err := x.Says("msg=serving name=" + x.Name + " listen="); err != nil {
+		return err
+	}
+	x.mu.Lock()
+	x.born, x.ending = time.Now(), false
+	x.mu.Unlock()
+	return r.net.Point(x.Name, x.listen)
+}
+
+func (r *Fleet) close() {
+	close(r.stop)
+	for _, x := range r.Nodes {
+		if x.Up() {
+			x.Resume()
+			x.End(syscall.SIGKILL)
+		}
+	}
+	r.net.Close()
+	r.wait.Wait()
+}
+
+func (r *Fleet) named(name string) *Node {
+	i := slices.IndexFunc(r.Nodes, func(x *Node) bool { return x.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return r.Nodes[i]
+}
--- a/internal/standin/line.go
+++ b/internal/standin/line.go
@@ -12,10 +12,19 @@
 	"io"
 	"net"
 	"strconv"
-	"testing"
 	"time"
 )
 
+// Host is what stand-ins need of whoever plays with them: a test, or a rehearsal.
+type Host interface {
+	Helper()
+	Cleanup(f func())
+	Logf(format string, args ...any)
+	Errorf(format string, args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // Patience is how long a test waits for what must come.
 const Patience = 10 * time.Second
 
@@ -61,7 +70,7 @@
 }
 
 // Wait takes what must come on a channel.
-func Wait[T any](t testing.TB, what string, c <-chan T) T {
+func Wait[T any](t Host, what string, c <-chan T) T {
 	t.Helper()
 	select {
 	case v, ok := <-c:
@@ -102,7 +111,7 @@
 }
 
 // NewOwner connects an owner for a test.
-func NewOwner(t testing.TB, addr string) *Owner {
+func NewOwner(t Host, addr string) *Owner {
 	o, err := Dial(addr)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -5,7 +5,6 @@
 	"net"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,7 +32,7 @@
 
 // NewLink relays to a minion, which is told to the orchestrator by the link's address
 // from now on.
-func NewLink(t testing.TB, m *Minion) *Link {
+func NewLink(t Host, m *Minion) *Link {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -65,7 +64,7 @@
 }
 
 // Cut lets nothing through, in either direction, and no connection come up.
-func (l *Link) Cut(t testing.TB) {
+func (l *Link) Cut(t Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cut = true
@@ -81,7 +80,7 @@
 }
 
 // Heal ends a cut.
-func (l *Link) Heal(t testing.TB) {
+func (l *Link) Heal(t Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.backlog(t, 1024)
@@ -90,7 +89,7 @@
 	l.turned.Broadcast()
 }
 
-func (l *Link) backlog(t testing.TB, n int) {
+func (l *Link) backlog(t Host, n int) {
 	raw, err := l.ln.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"testing"
 	"time"
 )
 
@@ -96,7 +95,7 @@
 }
 
 // NewMachine starts a machine.
-func NewMachine(t testing.TB, s Spec, w Watch, seed uint64) *Machine {
+func NewMachine(t Host, s Spec, w Watch, seed uint64) *Machine {
 	m := &Machine{Spec: s, watch: w, asks: make(chan ask, s.Queue), starts: make(chan struct{}, max(1, s.Starts)),
 		stop: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string]*run{}, queued: map[string]bool{}, refused: map[string]int{}}
 	go m.look()
@@ -105,7 +104,7 @@
 }
 
 // Minion opens a way to the machine.
-func (m *Machine) Minion(t testing.TB) *Minion {
+func (m *Machine) Minion(t Host) *Minion {
 	n := newMinion(t, m.Name, m)
 	m.mu.Lock()
 	m.minions = append(m.minions, n)
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -7,7 +7,6 @@
 	"net"
 	"strings"
 	"sync"
-	"testing"
 )
 
 // This file owns the stand-in minion's sockets and what it says by script.
@@ -46,9 +45,9 @@
 }
 
 // NewMinion starts a minion that follows its script.
-func NewMinion(t testing.TB, name string) *Minion { return newMinion(t, name, nil) }
+func NewMinion(t Host, name string) *Minion { return newMinion(t, name, nil) }
 
-func newMinion(t testing.TB, name string, mach *Machine) *Minion {
+func newMinion(t Host, name string, mach *Machine) *Minion {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
