--- a/cmd/ravenhitch/command.go
+++ b/cmd/ravenhitch/command.go
@@ -1,6 +1,6 @@
 package main
 
-// This file owns the sub-commands. Each asks a running orchestrator and ends; none serves.
+// This file owns the sub-commands. Each ends by itself, and none serves.
 
 import (
 	"encoding/json"
@@ -19,7 +19,8 @@
 
 // commands are what may follow the program's name.
 type commands struct {
-	Peers peersCommand `cmd:"" help:"Print who a running orchestrator believes is there."`
+	Peers    peersCommand    `cmd:"" help:"Print who a running orchestrator believes is there."`
+	Rehearse rehearseCommand `cmd:"" help:"Play faults between orchestrators on this machine, and show what comes of it."`
 }
 
 type peersCommand struct {
--- a/internal/standin/fleet/place.go
+++ b/internal/standin/fleet/place.go
@@ -22,6 +22,7 @@
 	seconds []Second
 	began   time.Time
 	silent  []string // tags that an orchestrator which ran never answered
+	all     sync.WaitGroup
 }
 
 // Second is what was told within one.
@@ -83,18 +84,19 @@
 	}
 }
 
-// Place offers tasks to every orchestrator for a while. Owners whose connection ends come
-// again.
-func (r *Fleet) Place(length time.Duration) *Placed {
+// Demand offers tasks to every orchestrator for a while; Wait waits for its end. Owners
+// whose connection ends come again.
+func (r *Fleet) Demand(length time.Duration) *Placed {
 	p := &Placed{began: time.Now()}
-	var all sync.WaitGroup
 	for i, x := range r.Nodes {
-		all.Go(func() { r.own(p, i, x, time.Now().Add(length)) })
+		p.all.Go(func() { r.own(p, i, x, p.began.Add(length)) })
 	}
-	all.Wait()
 	return p
 }
 
+// Wait is described at Demand.
+func (p *Placed) Wait() { p.all.Wait() }
+
 func (r *Fleet) own(p *Placed, i int, x *Node, until time.Time) {
 	var o *standin.Owner
 	for n := r.tags.Add(1); time.Now().Before(until); n = r.tags.Add(1) {
--- a/internal/standin/fleet/steps.go
+++ b/internal/standin/fleet/steps.go
@@ -156,3 +156,27 @@
 	}
 	return standin.Draw(seed, halls, length)
 }
+
+// Check says whether a schedule names what is not there.
+func (r *Fleet) Check(steps []standin.Step) error {
+	for _, s := range steps {
+		switch s.Verb {
+		case "heal":
+		case "pause", "kill", "term", "start", "restart":
+			if r.named(s.Where) == nil {
+				return fmt.Errorf("%s: no orchestrator %s", s, s.Where)
+			}
+		default:
+			ways := r.ways(s)
+			if len(ways) == 0 {
+				return fmt.Errorf("%s: expected a->b, a<->b, a hall or all", s)
+			}
+			for _, w := range ways {
+				if r.named(w[0]) == nil || r.named(w[1]) == nil {
+					return fmt.Errorf("%s: no orchestrators %s and %s", s, w[0], w[1])
+				}
+			}
+		}
+	}
+	return nil
+}
