--- /dev/null
+++ b/internal/membership/merge_test.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	// The seed is fixed here: packages without rapid reject its flags.
+	for name, v := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// reference is what is to be believed of one name after all rumours, in whatever order
+// they came: the latest incarnation, of that the greater life, of that the worst state;
+// a death counts as an accusation here, as nothing judges it.
+func reference(all []Rumour) (r Rumour) {
+	for i, o := range all {
+		o.State = min(o.State, max(Suspect, o.State/Left*Left))
+		if i == 0 || o.Incarnation > r.Incarnation || o.Incarnation == r.Incarnation && (o.Life > r.Life || o.Life == r.Life && o.State > r.State) {
+			r = o
+		}
+	}
+	return r
+}
+
+// Tables that heard the same, in any order and any number of times, believe the same.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Rumour
+		for range rapid.IntRange(1, 12).Draw(t, "rumours") {
+			r := peerOf("b")
+			r.Incarnation = uint64(rapid.IntRange(1, 3).Draw(t, "incarnation"))
+			r.Life = uint64(rapid.IntRange(1, 2).Draw(t, "life"))
+			r.State = State(rapid.IntRange(0, 3).Draw(t, "state"))
+			all = append(all, r)
+		}
+		want := reference(all)
+		var digests [2][Shelves]uint32
+		for i := range digests {
+			x := New(second, Config{Self: peerOf("a"), Seed: 1})
+			order := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1)).Perm(len(all))
+			for _, k := range append(order, order[0]) {
+				x.hear(all[k])
+			}
+			got := x.members["b"]
+			if got == nil || got.Incarnation != want.Incarnation || got.Life != want.Life || got.State != want.State && got.State != Dead {
+				t.Fatalf("order %v: %+v, expected %+v", order, got, want)
+			}
+			if live := x.live; live != truth(got.State <= Suspect) {
+				t.Fatalf("%d live", live)
+			}
+			digests[i] = x.digests
+			if got.State == Dead { // the first word was a death, which is believed of a stranger
+				return
+			}
+		}
+		if digests[0] != digests[1] {
+			t.Fatal("the digests differ")
+		}
+	})
+}
