Send records between orchestrators, each kind on a connection and in bounds of its own

Change: internal/peer sends records by kind: bounded queues, ErrFull and a call when there is room, redial, drops counted and said, taken only from a member of that name and life.

Measured: TestRecords on a way of 2 MB a second: an urgent record passes over half a megabyte that waits; TestRecordsDropped, ...Again, ...OfAStranger. Nothing sends records yet.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -46,6 +46,11 @@
 	Closed(c *Conn, err error)
 }
 
+// Drainer is a Handler that is told when the system has taken what it had left before.
+type Drainer interface {
+	Drained(c *Conn)
+}
+
 // Conn is a connection of the loop.
 type Conn struct {
 	l       *Loop
@@ -588,6 +593,10 @@
 	if events&unix.EPOLLOUT != 0 {
 		if err := c.flush(); err != nil {
 			c.fail(err)
+			return
+		}
+		if d, ok := c.h.(Drainer); ok && !c.closed && len(c.out) == 0 {
+			d.Drained(c)
 		}
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -211,6 +211,16 @@
 	return ""
 }
 
+// Lives is where a member is reached and which of its lives is believed in; false where it
+// is not there.
+func (t *Table) Lives(name string) (addr string, life uint64, ok bool) {
+	m := t.members[name]
+	if m == nil || m.State > Suspect {
+		return "", 0, false
+	}
+	return t.reach(name), m.Life, true
+}
+
 // Size is how many members there are, this one counted, as far as is believed here.
 func (t *Table) Size() int { return 1 + t.live }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -106,24 +106,28 @@
 }
 
 // Frame writes a message with its length before it.
-func Frame(m proto.Message) ([]byte, error) {
+func Frame(m proto.Message) ([]byte, error) { return frame(m, frameMost) }
+
+func frame(m proto.Message, most int) ([]byte, error) {
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, err
 	}
-	if len(b) > frameMost {
-		return nil, fmt.Errorf("%w: %d bytes of at most %d", ErrForm, len(b), frameMost)
+	if len(b) > most {
+		return nil, fmt.Errorf("%w: %d bytes of at most %d", ErrForm, len(b), most)
 	}
 	return append(binary.AppendUvarint(nil, uint64(len(b))), b...), nil
 }
 
 // Unframe finds the first message in b; used is 0 where it has not come whole. What a
 // length claims is never set aside: the bytes are waited for as they come.
-func Unframe(b []byte) (message []byte, used int, err error) {
+func Unframe(b []byte) (message []byte, used int, err error) { return unframe(b, frameMost) }
+
+func unframe(b []byte, most uint64) (message []byte, used int, err error) {
 	n, k := binary.Uvarint(b)
 	switch {
-	case k < 0 || k > 0 && n > frameMost || k == 0 && len(b) >= binary.MaxVarintLen64:
-		return nil, 0, fmt.Errorf("%w: expected a message of at most %d bytes", ErrForm, frameMost)
+	case k < 0 || k > 0 && n > most || k == 0 && len(b) >= binary.MaxVarintLen64:
+		return nil, 0, fmt.Errorf("%w: expected a message of at most %d bytes", ErrForm, most)
 	case k == 0 || uint64(len(b)-k) < n:
 		return nil, 0, nil
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,7 @@
 type Counts struct {
 	Sent, SentBytes, Received, ReceivedBytes, Lost, Refused int64
 	Knocks                                                  int64
+	Records, RecordsTaken, RecordsDropped                   int64
 }
 
 // Peers joins the table with its sockets.
@@ -52,12 +53,17 @@
 	guests int
 	life   uint64
 	tick   *loop.Timer
-	closed bool
+	lanes  map[lane]*sender
+	// carriers are the connections by which others send records.
+	carriers map[lane]*guest
+	takes    map[Kind]func(from string, b []byte)
+	room     func(to string, k Kind)
+	closed   bool
 }
 
 // New opens the sockets. The table begins to ask with the first turn.
 func New(l *loop.Loop, s Settings, log *slog.Logger) (*Peers, error) {
-	p := &Peers{l: l, s: s, log: log, warn: platform.NewLimited(log), life: rand.Uint64()}
+	p := &Peers{l: l, s: s, log: log, warn: platform.NewLimited(log), life: rand.Uint64(), lanes: map[lane]*sender{}, carriers: map[lane]*guest{}, takes: map[Kind]func(string, []byte){}, room: func(string, Kind) {}}
 	addr, err := l.Listen(s.Listen, func() bool { return p.guests < guestsMost }, func() loop.Handler { return &guest{p: p} })
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
@@ -118,6 +124,9 @@
 		}
 	}
 	for _, e := range p.table.Events() {
+		if e.Kind == membership.Died || e.Kind == membership.Departed || e.Kind == membership.Back {
+			p.hangUp(e.Name)
+		}
 		p.log.Info("peers", "what", e.Kind.String(), "member", e.Name, "hall", e.Hall, "evidence", e.Evidence)
 	}
 }
@@ -128,8 +137,9 @@
 // Counts returns what passed so far.
 func (p *Peers) Counts() Counts { return p.counts }
 
-func (p *Peers) hello() []byte {
-	b, err := Frame(&peerpb.Hello{Cluster: p.s.Cluster, Name: p.s.Name, Life: p.life, Lowest: Lowest, Highest: Highest})
+// hello greets, and says which records follow.
+func (p *Peers) hello(k Kind) []byte {
+	b, err := Frame(&peerpb.Hello{Cluster: p.s.Cluster, Name: p.s.Name, Life: p.life, Lowest: Lowest, Highest: Highest, Kind: uint32(k)})
 	if err != nil { // names are bounded by the settings: this can't happen
 		p.log.Error("peers: the hello has no form", "err", err)
 	}
@@ -172,7 +182,7 @@
 }
 
 // Opened implements loop.Handler.
-func (k *knock) Opened(c *loop.Conn) { c.Write(k.p.hello()) }
+func (k *knock) Opened(c *loop.Conn) { c.Write(k.p.hello(0)) }
 
 // Closed implements loop.Handler.
 func (k *knock) Closed(_ *loop.Conn, err error) {
@@ -200,41 +210,3 @@
 	k.p.knocked(k.name, h.GetLife(), nil)
 	return used, nil
 }
-
-// guest is a connection that another one began.
-type guest struct {
-	p     *Peers
-	timer *loop.Timer
-}
-
-// Opened implements loop.Handler.
-func (g *guest) Opened(c *loop.Conn) {
-	g.p.guests++
-	g.timer = g.p.l.After(guestFor, func() {
-		g.p.guests--
-		c.Close()
-	})
-}
-
-// Closed implements loop.Handler.
-func (g *guest) Closed(*loop.Conn, error) {
-	g.timer.Stop()
-	g.p.guests--
-}
-
-// Data implements loop.Handler.
-func (g *guest) Data(c *loop.Conn, b []byte) (int, error) {
-	m, used, err := Unframe(b)
-	if err == nil && used > 0 {
-		_, _, err = Greet(g.p.s.Cluster, m)
-	}
-	if err != nil {
-		g.p.counts.Refused++
-		g.p.warn.Warn("a peer is cut off", "err", err)
-		return 0, err
-	}
-	if used > 0 {
-		c.Write(g.p.hello())
-	}
-	return used, nil
-}
--- /dev/null
+++ b/internal/peer/records_test.go
@@ -0,0 +1,219 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenhitch/internal/loop"
+	"ravenhitch/internal/membership"
+	"ravenhitch/internal/peer/peerpb"
+	"ravenhitch/internal/standin"
+)
+
+// pair is two orchestrators on one loop, with relays between them.
+type pair struct {
+	l    *loop.Loop
+	net  *standin.Net
+	a, b *Peers
+	said lines
+}
+
+func newPair(t *testing.T) *pair {
+	x := &pair{net: standin.NewNet(1)}
+	t.Cleanup(x.net.Close)
+	var err error
+	if x.l, err = loop.New(64); err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(&x.said, nil))
+	for i, p := range []**Peers{&x.a, &x.b} {
+		me, other := fmt.Sprint("n", i), fmt.Sprint("n", 1-i)
+		way, err := x.net.Relay(me, other)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if *p, err = New(x.l, Settings{Listen: "127.0.0.1:0", Cluster: "dala", Name: me, Hall: "hall-a", Incarnation: 1,
+			Members: []membership.Peer{{Name: other, Addr: way}}}, log); err != nil {
+			t.Fatal(err)
+		}
+		if err := x.net.Point(me, (*p).Addr()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	over := make(chan error, 1)
+	go func() { over <- x.l.Run(func(int64) {}) }()
+	t.Cleanup(func() {
+		x.l.Post(x.l.Stop)
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+		x.l.Close()
+	})
+	x.soon(t, "both are members", func() bool {
+		_, _, a := x.a.table.Lives("n1")
+		_, _, b := x.b.table.Lives("n0")
+		return a && b
+	})
+	return x
+}
+
+// on runs f on the loop and waits for it.
+func (x *pair) on(f func()) {
+	done := make(chan struct{})
+	x.l.Post(func() { f(); close(done) })
+	<-done
+}
+
+func (x *pair) soon(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(2 * standin.Patience); ; time.Sleep(time.Millisecond) {
+		ok := false
+		if x.on(func() { ok = holds() }); ok {
+			return
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("%s: never came; %s", what, x.said.String())
+		}
+	}
+}
+
+// Much of one kind on a thin way never delays another; whoever sends too much is told, and
+// told again when there is room; all of it comes, in order.
+func TestRecords(t *testing.T) {
+	x := newPair(t)
+	if err := x.net.Set("n0", "n1", func(c *standin.Conditions) { c.Bandwidth = 2 << 20 }); err != nil {
+		t.Fatal(err)
+	}
+	var came []string
+	sent, rooms, urgentAfter := 0, 0, -1
+	bulk := func() error {
+		err := x.a.Send("n1", Bulk, fmt.Appendf(nil, "%08d%s", sent, bytes.Repeat([]byte("x"), 64<<10)))
+		if err == nil {
+			sent++
+		}
+		return err
+	}
+	x.on(func() {
+		x.b.Take(Bulk, func(from string, b []byte) { came = append(came, from+" "+string(b[:8])) })
+		x.b.Take(Urgent, func(_ string, b []byte) { urgentAfter = len(came) })
+		x.a.Room(func(to string, k Kind) {
+			if to == "n1" && k == Bulk {
+				rooms++
+			}
+		})
+		for bulk() == nil {
+		}
+		if err := bulk(); !errors.Is(err, ErrFull) {
+			t.Errorf("too much: %v", err)
+		}
+	})
+	x.soon(t, "some of it", func() bool { return len(came) > 0 })
+	x.on(func() {
+		for bulk() == nil {
+		}
+		if err := x.a.Send("n1", Urgent, []byte("now")); err != nil {
+			t.Error(err)
+		}
+	})
+	x.soon(t, "the urgent one", func() bool { return urgentAfter >= 0 })
+	x.soon(t, "all of it", func() bool { return len(came) == sent })
+	x.on(func() {
+		if urgentAfter >= sent-8 { // half a megabyte still waited
+			t.Errorf("the urgent one came after %d of %d", urgentAfter, sent)
+		}
+		if rooms == 0 {
+			t.Error("nobody was told of the room")
+		}
+		for i, s := range came {
+			if s != fmt.Sprintf("n0 %08d", i) {
+				t.Fatalf("record %d is %q", i, s)
+			}
+		}
+		if err := x.a.Send("n1", Bulk, make([]byte, recordMost+1)); !errors.Is(err, ErrSize) {
+			t.Errorf("too large: %v", err)
+		}
+		if err := x.a.Send("n9", Bulk, nil); !errors.Is(err, ErrAway) {
+			t.Errorf("to nobody: %v", err)
+		}
+	})
+}
+
+// A connection that is reset is opened again, and what waits goes out on it.
+func TestRecordsAgain(t *testing.T) {
+	x := newPair(t)
+	came := 0
+	x.on(func() { x.b.Take(Urgent, func(string, []byte) { came++ }) })
+	for round := range 3 {
+		before := came
+		x.soon(t, "a record", func() bool {
+			if err := x.a.Send("n1", Urgent, []byte("again")); err != nil {
+				t.Fatal(err)
+			}
+			return came > before
+		})
+		x.net.Reset("n0", "n1")
+		t.Logf("round %d: %d came", round, came)
+	}
+}
+
+// What waits for a member that is gone is dropped, counted and said.
+func TestRecordsDropped(t *testing.T) {
+	x := newPair(t)
+	if err := x.net.Point("n1", ""); err != nil { // its machine refuses; the process is not heard
+		t.Fatal(err)
+	}
+	if err := x.net.Set("n1", "n0", func(c *standin.Conditions) { c.Cut = true }); err != nil {
+		t.Fatal(err)
+	}
+	x.on(func() {
+		for range 3 {
+			if err := x.a.Send("n1", Urgent, []byte("never")); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	x.soon(t, "the count", func() bool { return x.a.Counts().RecordsDropped == 3 })
+	x.on(func() {
+		if err := x.a.Send("n1", Urgent, nil); !errors.Is(err, ErrAway) {
+			t.Errorf("to the dead: %v", err)
+		}
+	})
+	if !strings.Contains(x.said.String(), "records for a peer are dropped") {
+		t.Error("it was not said")
+	}
+}
+
+// Records are taken from a member of that name and life only.
+func TestRecordsOfAStranger(t *testing.T) {
+	x := newPair(t)
+	for _, h := range []*peerpb.Hello{
+		{Cluster: "dala", Name: "n0", Life: 1, Lowest: 1, Highest: 1, Kind: uint32(Urgent)},
+		{Cluster: "dala", Name: "n9", Life: x.a.life, Lowest: 1, Highest: 1, Kind: uint32(Urgent)},
+		{Cluster: "dala", Name: "n0", Life: x.a.life, Lowest: 1, Highest: 1, Kind: 77},
+	} {
+		var before int64
+		x.on(func() { before = x.b.Counts().Refused })
+		c, err := net.Dial("tcp", x.b.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := Frame(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(b)
+		x.soon(t, "the refusal", func() bool { return x.b.Counts().Refused == before+1 })
+		c.Close()
+	}
+	x.on(func() {
+		if n := x.b.Counts().RecordsTaken; n > 0 {
+			t.Errorf("%d were taken", n)
+		}
+	})
+}
