--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -315,9 +315,12 @@
 }
 
 // Member is its line of the list.
-func (m *Minion) Member(phase string) string {
+func (m *Minion) Member(phase string) string { return m.MemberAt(phase, m.Addr()) }
+
+// MemberAt is the same for whoever reaches it at another address.
+func (m *Minion) MemberAt(phase, addr string) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"hall-a","flavor":%q,"cell":1,"phase":%q,"size":1,`+
-		`"up_since_ms":0,"spare":[32,64]}`, m.Name, m.Addr(), m.Kind, phase)
+		`"up_since_ms":0,"spare":[32,64]}`, m.Name, addr, m.Kind, phase)
 }
 
 // Deaf refuses new connections; open ones stay.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -43,6 +43,7 @@
 	ways   map[pair]Conditions
 	real   map[string]string // where each process listens, "" where none does
 	relays map[pair]*relay
+	healed map[pair]time.Time // when a direction last carried again
 	closed bool
 	// Passed and Stopped count what got through and what did not, of datagrams and of
 	// pieces of connections.
@@ -52,7 +53,7 @@
 // NewNet returns a net without relays.
 func NewNet(seed uint64) *Net {
 	n := &Net{rng: rand.New(rand.NewPCG(seed, 4)), port: 20_000 + os.Getpid()*997%10_000, ways: map[pair]Conditions{}, real: map[string]string{},
-		relays: map[pair]*relay{}}
+		relays: map[pair]*relay{}, healed: map[pair]time.Time{}}
 	n.turned = sync.NewCond(&n.mu)
 	return n
 }
@@ -126,6 +127,7 @@
 	c := n.ways[pair{from, to}]
 	change(&c)
 	n.ways[pair{from, to}] = c
+	n.healed[pair{from, to}] = time.Now()
 	n.turned.Broadcast()
 	n.mu.Unlock()
 	return n.listen()
@@ -134,6 +136,9 @@
 // Heal ends all conditions.
 func (n *Net) Heal() error {
 	n.mu.Lock()
+	for p := range n.ways {
+		n.healed[p] = time.Now()
+	}
 	clear(n.ways)
 	n.turned.Broadcast()
 	n.mu.Unlock()
@@ -177,6 +182,25 @@
 	return !c.Cut && !c.Refuse
 }
 
+// Has reports whether there is a way from one to another.
+func (n *Net) Has(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.relays[pair{from, to}] != nil || n.relays[pair{to, from}] != nil
+}
+
+// Fine reports whether nothing was wrong between two since a time, in either direction.
+func (n *Net) Fine(a, b string, since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range []pair{{a, b}, {b, a}} {
+		if n.ways[p] != (Conditions{}) || n.healed[p].After(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // way is the conditions of a direction and where it leads.
 func (n *Net) way(from, to string) (Conditions, string) {
 	n.mu.Lock()
