--- a/internal/peer/records_test.go
+++ b/internal/peer/records_test.go
@@ -162,6 +162,29 @@
 	}
 }
 
+// Without a descriptor left nobody can be knocked at, and nobody dies of that.
+func TestNoDescriptors(t *testing.T) {
+	x := newPair(t)
+	var before int64
+	x.on(func() {
+		for x.l.Free() > 0 {
+			if _, err := x.l.Listen("127.0.0.1:0", func() bool { return false }, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		before = x.a.Counts().Received
+	})
+	if err := x.net.Set("n1", "n0", func(c *standin.Conditions) { c.Loss = 0.3 }); err != nil {
+		t.Fatal(err)
+	}
+	x.soon(t, "some datagrams", func() bool { return x.a.Counts().Received > before+20 })
+	x.on(func() {
+		if _, _, ok := x.a.table.Lives("n1"); !ok || strings.Contains(x.said.String(), "what=dead") {
+			t.Errorf("n1 is there: %v; %s", ok, x.said.String())
+		}
+	})
+}
+
 // What waits for a member that is gone is dropped, counted and said.
 func TestRecordsDropped(t *testing.T) {
 	x := newPair(t)
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +33,12 @@
 	return c.Cut || c.Flap > 0 && now.Sub(c.Since)/c.Flap%2 == 0
 }
 
+// ports counts the ports that were given out, of all nets of this process: each has its
+// own. It begins where other processes are not likely to.
+var ports atomic.Int64
+
+func init() { ports.Store(int64(os.Getpid()) * 997) }
+
 type pair struct{ from, to string }
 
 // Net is the network. Its chances are drawn from one seed.
@@ -39,7 +46,6 @@
 	mu     sync.Mutex
 	turned *sync.Cond // conditions changed, or the net is closed
 	rng    *rand.Rand
-	port   int
 	ways   map[pair]Conditions
 	real   map[string]string // where each process listens, "" where none does
 	relays map[pair]*relay
@@ -52,7 +58,7 @@
 
 // NewNet returns a net without relays.
 func NewNet(seed uint64) *Net {
-	n := &Net{rng: rand.New(rand.NewPCG(seed, 4)), port: 20_000 + os.Getpid()*997%10_000, ways: map[pair]Conditions{}, real: map[string]string{},
+	n := &Net{rng: rand.New(rand.NewPCG(seed, 4)), ways: map[pair]Conditions{}, real: map[string]string{},
 		relays: map[pair]*relay{}, healed: map[pair]time.Time{}}
 	n.turned = sync.NewCond(&n.mu)
 	return n
@@ -97,8 +103,8 @@
 // system gives out by itself: one that is closed for a while is still free afterwards.
 func (n *Net) port4() (*net.UDPConn, error) {
 	for range 5_000 {
-		n.port = 20_000 + (n.port-20_000+1)%10_000
-		udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: n.port})
+		port := 20_000 + int(ports.Add(1))%10_000
+		udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
 		if err != nil {
 			continue
 		}
@@ -247,7 +253,15 @@
 	defer r.mu.Unlock()
 	switch {
 	case on && r.tcp == nil:
-		if r.tcp, err = net.Listen("tcp4", r.addr); err != nil {
+		// A process that is just being started holds a copy of what was closed a moment ago.
+		for range 200 {
+			if r.tcp, err = net.Listen("tcp4", r.addr); !errors.Is(err, syscall.EADDRINUSE) {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if err != nil {
+			r.tcp = nil
 			return fmt.Errorf("standin: the relay from %s to %s: %w", r.from, r.to, err)
 		}
 		go r.accept(r.tcp)
