--- a/test/cluster/members_test.go
+++ b/test/cluster/members_test.go
@@ -21,6 +21,7 @@
 	processesFlag = flag.Int("processes", 7, "orchestrators")
 	secondsFlag   = flag.Int("seconds", 20, "length of the schedule")
 	scheduleFlag  = flag.String("schedule", "", "play this one in place of one that is drawn")
+	calmFlag      = flag.Duration("calm", 3*time.Second, "how long tasks are offered before, without and with peers")
 	shrinkFlag    = flag.Bool("shrink", false, "make a schedule that fails shorter, a play a try")
 )
 
@@ -62,17 +63,17 @@
 
 // TestMembers plays one schedule drawn from a seed.
 func TestMembers(t *testing.T) {
-	length, calm := time.Duration(*secondsFlag)*time.Second, 3*time.Second
+	length := time.Duration(*secondsFlag) * time.Second
 	var off *fleet.Placed
 	if flag.Lookup("test.run").Value.String() != "" { // a measurement, beside the play
 		t.Run("off", func(t *testing.T) {
-			off = start(t, true).Demand(calm)
+			off = start(t, true).Demand(*calmFlag)
 			off.Wait()
 		})
 	}
 	r := start(t, false)
 	r.Watch()
-	on := r.Demand(calm)
+	on := r.Demand(*calmFlag)
 	on.Wait()
 	steps := r.Draw(*seedFlag, length)
 	if *scheduleFlag != "" {
@@ -86,6 +87,7 @@
 	ratio := 0.0
 	if off != nil {
 		ratio = float64(on.P99()) / float64(max(1, off.P99()))
+		t.Logf("placement p99 %s with peers, %s without", on.P99(), off.P99())
 	}
 	fmt.Printf("members: %s placement_p99_ratio=%.2f\n", v, ratio)
 	if bad == "" {
