Bound the names that a table of members knows, and drop fields that nothing reads

Cause: read again: a peer that makes names up could fill the memory, as only the dead were bounded; endedAt, tick and closed were written or asked and never used.

Measured: TestNamesMadeUp fails without the bound; tests of membership and peer pass.

--- a/internal/membership/judge_test.go
+++ b/internal/membership/judge_test.go
@@ -198,3 +198,14 @@
 		t.Error("dead, though it answers")
 	}
 }
+
+// A peer that makes names up fills no memory.
+func TestNamesMadeUp(t *testing.T) {
+	x := newAlone(t)
+	for i := range membersMost + 100 {
+		x.tell(&Message{Kind: Ack, Self: peerOf("c"), Rumours: []Rumour{peerOf(fmt.Sprint("m", i))}})
+	}
+	if n := len(x.members); n != membersMost || n != len(x.names) || x.Size() != n+1 {
+		t.Errorf("%d names, %d of them sorted, %d there", n, len(x.names), x.Size())
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -93,6 +93,8 @@
 	relookEvery = 1_000_000
 	// deadEvery is how often one that is taken for dead is tried.
 	deadEvery = 500_000
+	// membersMost bounds the names that are known: a peer that makes them up fills no memory.
+	membersMost = 4096
 	// deadMost bounds the dead and departed that are remembered.
 	deadMost = 1024
 	// healthMost bounds the doubt of this instance in itself.
@@ -167,7 +169,6 @@
 	out, in   way
 	suspectAt int64
 	lookedAt  int64 // when it was last probed from here
-	endedAt   int64
 }
 
 // New returns a table that knows the peers of the settings by their names alone.
@@ -236,7 +237,4 @@
 	} else {
 		m.suspectAt = 0
 	}
-	if r.State >= Dead {
-		m.endedAt = t.now
-	}
 }
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -96,7 +96,7 @@
 	}
 	m := t.members[r.Name]
 	if m == nil {
-		if r.State >= Dead && len(t.names) > deadMost {
+		if len(t.names) >= membersMost || r.State >= Dead && len(t.names) > deadMost {
 			return
 		}
 		m = &member{Rumour: Rumour{State: Dead}, contact: t.now}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -52,13 +52,11 @@
 	counts Counts
 	guests int
 	life   uint64
-	tick   *loop.Timer
 	lanes  map[lane]*sender
 	// carriers are the connections by which others send records.
 	carriers map[lane]*guest
 	takes    map[Kind]func(from string, b []byte)
 	room     func(to string, k Kind)
-	closed   bool
 }
 
 // New opens the sockets. The table begins to ask with the first turn.
@@ -83,11 +81,8 @@
 
 // turn has the table do what is due, and comes again.
 func (p *Peers) turn() {
-	if p.closed {
-		return
-	}
 	p.do(p.table.Tick(p.l.Now()))
-	p.tick = p.l.At(max(p.table.Next(), p.l.Now()+1), p.turn)
+	p.l.At(max(p.table.Next(), p.l.Now()+1), p.turn)
 }
 
 // take hands a datagram to the table.
