Pass on what minions know repeats by, and tell the module tenant, hint and retry

Cause: with classes that are keyed, set-ups carry 'idem', which minions get unchanged; 'tenant', 'hint' and 'retry' come where the settings have tenants, hints and marked retries.

Change: Setup and Offer carry Idem; the module is told tenant, expected run and repeat.

TestSetUpPassedOn fails without the field in nodes.go.

--- /dev/null
+++ b/cmd/ravenhitch/settings_test.go
@@ -0,0 +1,49 @@
+package main
+
+// This file plays deployments of other customers, whose settings name other classes,
+// limits and fields than the first one's.
+
+import (
+	"log/slog"
+	"maps"
+	"testing"
+
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/standin"
+)
+
+// What a minion knows a repeat by is passed on unchanged, and what only an orchestrator
+// has a use for is not: whom the task is for, how long it runs, that it came before.
+func TestSetUpPassedOn(t *testing.T) {
+	settings := settingsWith(t, change{"RequestClasses.0.Name", "bulletin"}, change{"RequestClasses.0.Semantics", "guarded"},
+		change{"RequestClasses.0.Group", "zone"}, change{"Parties", []any{map[string]any{"Name": "studio"}}},
+		change{"FamilyInfo.ShareCores", []float64{100}})
+	w := newWorldSet(t, settings, config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+	o := w.owner(t)
+	l := standin.SetUp(standin.Tag(1), "bulletin", "ok-1", 5000)
+	own := map[string]string{"idem": "279ca3614cb41c092fc30eea25e0d5b5", "tenant": "studio", "hint": "4409.9", "retry": "1"}
+	maps.Copy(l.Opts, own)
+	standin.Send(o, l)
+	got := standin.Wait(t, "the offer", w.minions[0].Starts)
+	for _, name := range []string{"class", "key", "idem"} {
+		if got.Opts[name] != l.Opts[name] {
+			t.Errorf("%s: expected %q, got %q", name, l.Opts[name], got.Opts[name])
+		}
+	}
+	if len(got.Opts) != 4 || *got.Blob != *l.Blob {
+		t.Errorf("got %v about %q", got.Opts, *got.Blob)
+	}
+	if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	for name, value := range map[string]string{"hint": "-1", "retry": "often", "tenant": longName, "idem": longName} {
+		l := standin.SetUp(standin.Tag(2), "bulletin", "ok-2", 5000)
+		l.Opts[name] = value
+		standin.Send(o, l)
+		if l := standin.Wait(t, "the error", o.Lines); l.Verb != "FINISH" || l.Cause() != 47 {
+			t.Errorf("%s %q: got %v", name, value, l)
+		}
+	}
+}
+
+const longName = "0123456789012345678901234567890123456789012345678901234567890123456789"
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -3,8 +3,11 @@
 // This file joins a program with the stand-ins of package standin.
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"strconv"
+	"strings"
 	"testing"
 
 	"ravenhitch/internal/config"
@@ -25,10 +28,48 @@
  "OnTimeUs":6000000,"DeadlineUs":10000000,"Importance":5.0,"WindowUs":5000000}]}`
 
 // configText is a configuration that knows all events so far.
-func configText(f *standin.Feed) string {
+func configText(f *standin.Feed) string { return configOf(f, settingsText) }
+
+func configOf(f *standin.Feed, settings string) string {
 	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":%q,"known":%s,"settings":%s}`,
-		f.Srv.Listener.Addr(), f.Known(0), settingsText)
+		f.Srv.Listener.Addr(), f.Known(0), settings)
+}
+
+// change is one setting of another customer: its path, and its value.
+type change struct {
+	path  string
+	value any
+}
+
+// settingsWith is settingsText with some of its settings changed.
+func settingsWith(t *testing.T, changes ...change) string {
+	t.Helper()
+	var all any
+	if err := json.Unmarshal([]byte(settingsText), &all); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range changes {
+		at := all
+		steps := strings.Split(c.path, ".")
+		for _, step := range steps[:len(steps)-1] {
+			if list, ok := at.([]any); ok {
+				i, err := strconv.Atoi(step)
+				if err != nil {
+					t.Fatal(err)
+				}
+				at = list[i]
+				continue
+			}
+			at = at.(map[string]any)[step]
+		}
+		at.(map[string]any)[steps[len(steps)-1]] = c.value
+	}
+	b, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
 }
 
 // world is a program with the stand-ins round it.
@@ -57,6 +98,12 @@
 
 // newWorldBy hands every minion to by before anything connects to it.
 func newWorldBy(t *testing.T, edge config.Edge, sockets int64, log *slog.Logger, by func(*standin.Minion), names ...string) *world {
+	return newWorldSet(t, settingsText, edge, sockets, log, by, names...)
+}
+
+// newWorldSet is the same under other settings.
+func newWorldSet(t *testing.T, settings string, edge config.Edge, sockets int64, log *slog.Logger, by func(*standin.Minion),
+	names ...string) *world {
 	w := &world{feed: standin.NewFeed(t), over: make(chan error, 1)}
 	var members []string
 	for _, n := range names {
@@ -66,7 +113,7 @@
 		members = append(members, m.Member("up"))
 	}
 	w.feed.Add(true, members...)
-	cfg, err := config.Parse([]byte(configText(w.feed)))
+	cfg, err := config.Parse([]byte(configOf(w.feed, settings)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -411,3 +411,18 @@
 		t.Errorf("offers %v, answer %v, counts %+v", b.offers, b.final["t1"], b.Counts())
 	}
 }
+
+// What only the module has a use for reaches it: whose task it is, how long it runs, that
+// it came before.
+func TestTaskToldWhole(t *testing.T) {
+	b := newBench(t)
+	s := Setup{Tag: "9b1f03aa5c7e2d41", Class: "web", Key: "k", WaitUs: 5000 * ms, Cores: 1, Mem: 1, Tenant: "studio",
+		HintUs: 4_409_900, Again: true}
+	if err := b.Submit(b.now, b, s); err != nil {
+		t.Fatal(err)
+	}
+	r, ok := b.events[len(b.events)-1].(ravenhitch.Request)
+	if !ok || r.Tenant != "studio" || !r.Hinted || r.LastsUs != 4_409_900 || !r.Again {
+		t.Errorf("got %+v", b.events)
+	}
+}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -7,9 +7,9 @@
 
 // Offer is an attempt as a node gets it.
 type Offer struct {
-	Tag, Class, Key string
-	WaitUs          int64
-	Description     string
+	Tag, Class, Key, Idem string
+	WaitUs                int64
+	Description           string
 }
 
 // Nodes carries offers to nodes. What comes of them is told with NodeStarted,
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -99,7 +99,7 @@
 		c.keys[s.Key] = r
 	}
 	task := ravenhitch.Task{Ticket: s.Tag, Workload: r.number, DeadlineUs: r.deadline, Cores: s.Cores, Mem: s.Mem,
-		Class: s.Class, Program: s.Service}
+		Class: s.Class, Program: s.Service, Tenant: s.Tenant, LastsUs: s.HintUs, Hinted: s.HintUs > 0, Again: s.Again}
 	if s.At != "" {
 		c.counts.Opened++
 		r.node, r.mayRun = s.At, true
--- a/internal/core/setup.go
+++ b/internal/core/setup.go
@@ -4,9 +4,13 @@
 
 import "strings"
 
-// Setup is what an owner asks for. Description is opaque.
+// Setup is what an owner asks for. Description and Idem are opaque.
 type Setup struct {
 	Tag, Class, Key string
+	Idem            string // by what nodes know a repeat, "" where the class has no such nodes
+	Tenant          string // "" where the deployment has none
+	HintUs          int64  // how long the task is expected to run, 0 where that is not told
+	Again           bool   // its owner says that it asked before
 	WaitUs          int64  // how long the owner waits from CameUs on
 	CameUs          int64  // the earliest that the set-up can have come, 0 for now
 	SinceUs         int64  // since when its owner proved to stand in line, 0 where it did not
@@ -21,10 +25,11 @@
 	Resumes bool
 }
 
-// The bounds of what an owner may ask for. A longer wait than a day, or a figure of
-// a million million, is a slip or worse.
+// The bounds of what an owner may ask for. A longer wait than a day, a task of more than
+// a year, or a figure of a million million, is a slip or worse.
 const (
 	waitMost   = int64(86_400_000_000)
+	hintMost   = 366 * waitMost
 	figureMost = 1e9
 	nameMost   = 64
 )
@@ -41,6 +46,12 @@
 		return "task", "a name of 1 to 64 bytes"
 	case s.Class == "" || len(s.Class) > nameMost:
 		return "class", "a name of 1 to 64 bytes"
+	case len(s.Idem) > nameMost:
+		return "idem", "a key of 64 bytes at most"
+	case len(s.Tenant) > nameMost:
+		return "tenant", "a name of 64 bytes at most"
+	case s.HintUs < 0 || s.HintUs > hintMost:
+		return "hint", "a time of 0 or more, a year at most"
 	case !fine(s.Cores):
 		return "cores", "a number above 0"
 	case !fine(s.Mem):
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -189,8 +189,8 @@
 	}
 	c.arm(r, r.abandon)
 	c.trace("offer", r, "abandon", r.abandon, "deadline", r.deadline)
-	c.nodes.Offer(a.Machine, Offer{Tag: r.Tag, Class: r.Class, Key: r.Key, WaitUs: r.abandon - c.now,
-		Description: r.Description})
+	c.nodes.Offer(a.Machine, Offer{Tag: r.Tag, Class: r.Class, Key: r.Key, Idem: r.Idem,
+		WaitUs: r.abandon - c.now, Description: r.Description})
 }
 
 // finish answers a request that was given up: refused where a retry is
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -312,7 +312,8 @@
 
 // setup reads what a set-up asks for.
 func setup(m *Message) (core.Setup, error) {
-	s := core.Setup{Tag: m.Tag, Class: m.Opt("class"), Key: m.Opt("key"), Description: m.Blob}
+	s := core.Setup{Tag: m.Tag, Class: m.Opt("class"), Key: m.Opt("key"), Idem: m.Opt("idem"), Tenant: m.Opt("tenant"),
+		Description: m.Blob}
 	bad := func(what string) (core.Setup, error) {
 		return s, fmt.Errorf("%w: a set-up without a usable %s", ErrMessage, what)
 	}
@@ -333,6 +334,20 @@
 			return bad(name)
 		}
 	}
+	if text := m.Opt("hint"); text != "" {
+		hint, err := strconv.ParseFloat(text, 64)
+		if err != nil || hint != hint {
+			return bad("hint")
+		}
+		s.HintUs = int64(min(max(hint, -1), leftMost) * 1000)
+	}
+	if text := m.Opt("retry"); text != "" {
+		tries, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return bad("retry")
+		}
+		s.Again = tries > 0
+	}
 	if s.At == "" { // else no answer is waited for
 		left, err := strconv.ParseFloat(m.Opt("left"), 64)
 		if err != nil || left != left {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -251,6 +251,9 @@
 func (nc *nodeConn) start(s *sent) {
 	m := Message{Verb: verbStart, Tag: s.Tag, Blob: s.Description, HasBlob: true, Opts: []Field{{"class", s.Class},
 		{"key", s.Key}, {"left", strconv.FormatInt(max(1, (s.until-nc.k.n.l.Now())/1000), 10)}}}
+	if s.Idem != "" {
+		m.Opts = append(m.Opts, Field{"idem", s.Idem})
+	}
 	nc.c.Write(Append(nil, &m))
 	s.end = nc.c.Taken()
 }
