Count a minion as dead that refuses connections and is silent on those it has

Ruled out: a lost release by the minion (it sent none), the list of the restart (it named the minion).

Change: refused for 2 s while nothing comes on what is open, a test there included, is dead as well; a task on a node that left the list waits 1 s for the node's word, no longer 3.

--- a/cmd/ravenhitch/giveup_test.go
+++ b/cmd/ravenhitch/giveup_test.go
@@ -35,6 +35,17 @@
 	mu    sync.Mutex
 	gone  map[string]int64 // when an attempt was given up and not proved to be over, by tag
 	notes []string
+	ended []time.Time // when connections to minions ended, as the log tells
+}
+
+// spell is for how long connections to minions have kept ending.
+func (e *early) spell() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.ended) == 0 {
+		return 0
+	}
+	return e.ended[len(e.ended)-1].Sub(e.ended[0])
 }
 
 func (*early) Enabled(context.Context, slog.Level) bool { return true }
@@ -55,6 +66,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch r.Message {
+	case "a connection to a minion ended":
+		e.ended = append(e.ended, r.Time)
 	case "give up on the wire", "connection lost under an offer":
 		if written { // else it never left
 			e.gone[tag] = at
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,8 +25,10 @@
 	// cutWait is how long a node has to tell the end of a task that was released or
 	// moved before it is taken as told.
 	cutWait = 700_000
-	// orphanAfter is how long a task may stand on a node that is on no list.
-	orphanAfter = 3_000_000
+	// orphanAfter is how long a task may stand on a node that left the list: long enough for
+	// the node's own word on it, which comes by another way. The list may tell of a node that
+	// went some seconds late, and a task that ended with it must be told within 8 s.
+	orphanAfter = 1_000_000
 	// openAfter is the same for a task that was handed in as standing on a node that
 	// no list ever named: nobody else will tell its owner.
 	openAfter  = 1_500_000
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -38,6 +38,10 @@
 	// the ends of tasks come on the next. An end not told for 8 s is lost.
 	quietMost  = 3_000_000
 	sweepNodes = 500_000
+	// deadAfter is how long a minion may refuse connections and say nothing on those that
+	// it has before it counts as dead: well over the pause of a busy one, and with
+	// quietMost and two sweeps before it still under the 8 s in which an end is to be told.
+	deadAfter = 2_000_000
 	// strayMost bounds the connections to one minion.
 	strayMost = 4
 	// halfMost is how long half a message may wait for its rest. Minions write theirs
@@ -125,12 +129,14 @@
 	broke  bool // a connection was reset; a refused one now proves the death
 	failed bool // a connection failed or fell silent, and none came up since
 
-	fading   map[string]bool  // offers reset with their connection; the minion may not know yet
-	wayUs    int64            // the least that a connection took to come up, 0 while none has
-	unheard  map[string]int64 // releases of tasks that stand, and when they were first written
-	goneAt   int64            // when a connection last ended that the minion may believe in
-	openedAt int64            // when one last came up, or an ear was opened
-	prunedAt int64            // when one was last closed here that the minion believed in till then
+	// refusedAt is since when connections were refused while nothing came, or 0.
+	refusedAt int64
+	fading    map[string]bool  // offers reset with their connection; the minion may not know yet
+	wayUs     int64            // the least that a connection took to come up, 0 while none has
+	unheard   map[string]int64 // releases of tasks that stand, and when they were first written
+	goneAt    int64            // when a connection last ended that the minion may believe in
+	openedAt  int64            // when one last came up, or an ear was opened
+	prunedAt  int64            // when one was last closed here that the minion believed in till then
 }
 
 // nodeConn is one connection to a minion.
@@ -357,14 +363,32 @@
 	})
 }
 
-// refused takes a refused connection after one that was reset: the process died.
+// refused takes a refused connection: nobody listens there. After a reset that proves the
+// death of the process. Else it may have gone without a word, or may only take no further
+// connections: then it answers a test on those that it has. Where nothing comes while
+// connections are refused for deadAfter, it is dead, and nobody will tell what stood there.
 func (k *link) refused() {
-	if !k.broke {
+	now := k.n.l.Now()
+	if k.refusedAt == 0 {
+		k.refusedAt = now
+		for _, nc := range k.conns {
+			if nc.c.Up() {
+				nc.send(&Message{Verb: verbEcho, Tag: fmt.Sprintf("%016x", now), HasRC: true})
+			}
+		}
+	}
+	if !k.broke && now-k.refusedAt < deadAfter {
 		return
 	}
-	k.broke = false
+	k.broke, k.refusedAt = false, 0
 	k.n.log.Warn("a minion has died", "node", k.id)
-	k.n.later(func() { k.n.core.NodeLost(k.n.l.Now(), k.id) })
+	k.n.later(func() {
+		for len(k.conns) > 0 {
+			k.conns[0].end(errSilent)
+		}
+		k.later()
+		k.n.core.NodeLost(k.n.l.Now(), k.id)
+	})
 }
 
 // prune closes older connections with nothing on them.
@@ -449,7 +473,7 @@
 	if way := nc.readAt - nc.dialAt; nc.k.wayUs == 0 || way < nc.k.wayUs {
 		nc.k.wayUs = way
 	}
-	nc.k.wait, nc.k.broke = 0, false
+	nc.k.wait, nc.k.broke, nc.k.refusedAt = 0, false, 0
 	if nc.k.failed {
 		nc.k.failed = false
 		nc.k.n.core.NodeReached(nc.readAt, nc.k.id)
@@ -494,7 +518,7 @@
 
 // Data implements loop.Handler.
 func (nc *nodeConn) Data(_ *loop.Conn, b []byte) (int, error) {
-	nc.readAt = nc.k.n.l.Now()
+	nc.readAt, nc.k.refusedAt = nc.k.n.l.Now(), 0
 	used, err := lines(b, func(line []byte) error {
 		m, err := Parse(line)
 		if err == nil && m.Verb == verbStarted && !m.HasBlob {
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -42,6 +42,7 @@
 	count  map[string]int // set-ups by task
 	dials  int            // connections so far
 	untold []Line         // ends that found no connection
+	gone   bool           // it says nothing any more
 }
 
 // NewMinion starts a minion that follows its script.
@@ -173,6 +174,9 @@
 		if json.Unmarshal(r.Bytes(), &l) != nil {
 			return
 		}
+		if m.vanished() {
+			continue
+		}
 		switch l.Verb {
 		case "START":
 			open[l.Tag] = l
@@ -326,6 +330,31 @@
 // Deaf refuses new connections; open ones stay.
 func (m *Minion) Deaf() { m.ln.Close() }
 
+// Vanish lets it go without a word: new connections are refused, and those that are open
+// stay open and silent.
+func (m *Minion) Vanish() {
+	m.mu.Lock()
+	m.gone = true
+	m.mu.Unlock()
+	m.ln.Close()
+}
+
+// Shut closes it for good as a process does that ends in good order.
+func (m *Minion) Shut() {
+	m.ln.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for c := range m.conns {
+		c.Close()
+	}
+}
+
+func (m *Minion) vanished() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gone
+}
+
 // Forget no longer knows its connections, and waits for a new one.
 func (m *Minion) Forget() {
 	m.mu.Lock()
