Ask the core again before a late offer leaves, and keep to what settings forbid

The same way an offer could leave past a drain limit told meanwhile. nodeConn.start in internal/platform/nodes.go wrote whatever waited.

Change: core.MayLeave, the guards of place, is asked by start, on late connections and on those that replace a broken one; what may not leave ends as never sent. The core guards windows and groups of keyed classes itself. The margin before the drain limit is at most half of the limit (0.8 s leaves 0.4, not 0.3). A keyed task whose repeats all nodes know may be refused, not only failed. No advice and no test where the settings allow none: a give-up is then proved by the close where another attempt may follow, and only written where none may.

Tests: TestOfferOnLateConnection (two cases fail with start's question taken out), TestKeyedRepeats, TestNoTests, TestNoAdvice.

--- a/api.go
+++ b/api.go
@@ -73,7 +73,9 @@
 	AskWithinUs int64
 	HasView     bool // list entries carry the room nobody has asked for
 	AcksRunning bool // Accepted means running, not merely accepted
-	Probes      bool // AskLoad is permitted
+	Probes      bool // AskLoad is permitted, and tells what the module can use
+	Tests       bool // machines may be sent tests at all
+	Advice      bool // refused owners may be told when to come again
 	Cancel      bool // Cancel is permitted
 	ReportsUsed bool // reports give room not in use rather than room not asked for
 	ReportsRoom bool // probe reports carry x0 and x1
--- a/cmd/ravenhitch/giveup_test.go
+++ b/cmd/ravenhitch/giveup_test.go
@@ -83,10 +83,12 @@
 	return nil
 }
 
-func newField(t *testing.T, minions ...string) *field {
+func newField(t *testing.T, minions ...string) *field { return newFieldOf(t, settingsText, minions...) }
+
+func newFieldOf(t *testing.T, settings string, minions ...string) *field {
 	f := &field{links: map[string]*standin.Link{}, attempts: standin.NewAttempts(), got: map[string]string{},
 		early: &early{Handler: slog.DiscardHandler, gone: map[string]int64{}}}
-	f.world = newWorldBy(t, config.Edge{}, 1024, slog.New(f.early), func(m *standin.Minion) {
+	f.world = newWorldSet(t, settings, config.Edge{}, 1024, slog.New(f.early), func(m *standin.Minion) {
 		m.Attempts = f.attempts
 		f.links[m.Name] = standin.NewLink(t, m)
 	}, minions...)
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -177,7 +177,7 @@
 		// What all connections together leave unread fits into a quarter of the memory.
 		p.l.Unread(max(unreadLeast, int(cfg.MemoryMB<<20)/4/budget))
 	}
-	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, log)
+	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, cfg.Settings.Tests, log)
 	p.nodes.Trace(edge.Trace)
 	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, log); err != nil {
 		return nil, err
--- a/cmd/ravenhitch/settings_test.go
+++ b/cmd/ravenhitch/settings_test.go
@@ -47,3 +47,44 @@
 }
 
 const longName = "0123456789012345678901234567890123456789012345678901234567890123456789"
+
+// Where the deployment allows no tests of minions none is sent; the next attempt goes out
+// all the same, and no copy with it.
+func TestNoTests(t *testing.T) {
+	f := newFieldOf(t, settingsWith(t, change{"Limits.Probes", false}), "a", "b")
+	missed := f.ask("missed", 8, 2000)
+	f.said(t, missed)
+	f.allTaken(t, missed)
+	// What is withdrawn needs no proof, and costs nobody a connection.
+	silent := f.ask("silent", 4, 60_000)
+	f.said(t, silent)
+	for _, tag := range silent {
+		standin.Send(f, standin.Finish("FINISH", tag, 16))
+	}
+	f.soon(t, "no attempt out", func() bool { return len(f.attempts.Open()) == 0 })
+	for _, m := range f.minions {
+		if n := m.Tests(); n > 0 {
+			t.Errorf("%s got %d tests", m.Name, n)
+		}
+	}
+	if copies := f.attempts.Copies(); len(copies) > 0 {
+		t.Errorf("%d copies, as %s", len(copies), copies[0])
+	}
+}
+
+// Where the deployment allows no advice on refusals, none is given, nor by the front itself.
+func TestNoAdvice(t *testing.T) {
+	settings := settingsWith(t, change{"Limits.RetryAfter", false})
+	w := newWorldSet(t, settings, config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+	o := w.owner(t)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "full-1", 300))
+	for i := range 40 { // more than a new connection may have open
+		standin.Send(o, standin.SetUp(standin.Tag(2+i), "guide-web", "silent-2", 300))
+	}
+	for range 41 {
+		l := standin.Wait(t, "the refusal", o.Lines)
+		if wait, ok := l.Opts["wait"]; ok || l.Cause() != 34 {
+			t.Fatalf("got %v, to stay away for %q ms", l, wait)
+		}
+	}
+}
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -19,7 +19,7 @@
  "SizeCores":[32],"MemoryByKind":[64.0],"UnitCores":1.0,"UnitMemory":2.0,"Counts":"asked","ApartBy":["none","none"],
  "CalmLevel":[0.8,0.8],"LostAfter":[0.2,0.2],"KindByClass":[-1,-1],"ClassMost":[2,2],"ClassStartS":[10.0,8.0],
  "FreshOffers":50.0},
- "Limits":{"AttemptsCap":3,"Probes":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":3000000},
+ "Limits":{"AttemptsCap":3,"Probes":true,"RetryAfter":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":3000000},
  "Report":{"How":"answers","Fields":["x0","x1"]},"Parties":[],
  "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.2,"ColdUs":16000000,"DrainGraceUs":2000000,
  "FallMultiple":4.0,"OverloadForUs":3000000},
--- a/internal/core/advice.go
+++ b/internal/core/advice.go
@@ -61,6 +61,9 @@
 // Advise sets who advises; before the first set-up.
 func (c *Core) Advise(a Advisor) { c.advisor = a }
 
+// Advises reports whether refused owners may be told when to come again.
+func (c *Core) Advises() bool { return c.set.Advice }
+
 // Storm is what is worth watching of crowds.
 func (c *Core) Storm() storm.Figures { return c.advisor.Figures(c.now) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,7 @@
 	abandon  int64
 	node     string
 	mayRun   bool              // an attempt may have started
+	ran      ran               // the first that may have
 	endAs    ravenhitch.Status // ending: what becomes of the attempt
 	reply    string            // the tag that the owner knows it by
 	binding  string            // what the node gave
@@ -78,6 +79,13 @@
 	index    int   // in the heap
 }
 
+// ran is the first attempt of a request that may have started: where, and when it was offered.
+type ran struct {
+	node, zone string
+	cell       int
+	at         int64
+}
+
 // open reports whether its owner is owed an answer.
 func (r *request) open() bool { return r.state == waiting || r.state == out || r.state == ending }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -33,7 +33,10 @@
 		Kinds: []ravenhitch.Kind{{Name: "std", Cores: 32, Memory: 64}},
 		Classes: []ravenhitch.Class{
 			{Name: "web", Effect: ravenhitch.Safe, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2, AimUs: 1000 * ms, DeadlineUs: 5000 * ms},
-			{Name: "cut", Effect: ravenhitch.Unsafe, Worth: 5, Kind: -1, Calm: 0.8, Fade: 0.2, AimUs: 6000 * ms, DeadlineUs: 9000 * ms}},
+			{Name: "cut", Effect: ravenhitch.Unsafe, Worth: 5, Kind: -1, Calm: 0.8, Fade: 0.2, AimUs: 6000 * ms, DeadlineUs: 9000 * ms},
+			{Name: "all", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeAll, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2},
+			{Name: "zone", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeZone, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2},
+			{Name: "cell", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeCell, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2}},
 	}
 }
 
@@ -88,7 +91,7 @@
 	b.offers = append(b.offers, o.Tag+"@"+node)
 }
 
-func (b *bench) GiveUp(node, tag string) (sure bool) {
+func (b *bench) GiveUp(node, tag string, _ bool) (sure bool) {
 	if b.out[tag] != node || b.unproved[tag] != "" {
 		b.t.Fatalf("%s: an attempt given up at %s is not there", tag, node)
 	}
@@ -426,3 +429,46 @@
 		t.Errorf("got %+v", b.events)
 	}
 }
+
+// A keyed task that may have started goes only to nodes of its group, and only while they
+// know its repeats, whenever its offer leaves; its owner is refused only where any node
+// would know it.
+func TestKeyedRepeats(t *testing.T) {
+	for _, c := range []struct {
+		class  string
+		leaves map[string]bool // in the window, by node
+		answer AnswerKind
+	}{
+		{"all", map[string]bool{"a": true, "near": true, "hall": true, "far": true}, Refused},
+		{"zone", map[string]bool{"a": true, "near": true, "hall": true, "far": false, "left": false}, Failed},
+		{"cell", map[string]bool{"a": true, "near": true, "hall": false, "far": false, "left": false}, Failed},
+		{"web", map[string]bool{"a": true, "far": true, "left": true}, Refused},
+		{"cut", map[string]bool{"a": true}, Failed},
+	} {
+		b := newBench(t)
+		ready := func(name, zone string, cell int) ravenhitch.Entry {
+			return ravenhitch.Entry{Machine: name, Kind: "std", Zone: zone, Cell: cell, SpareCores: 32, SpareMem: 64}
+		}
+		b.List(b.now, ravenhitch.List{Kind: ravenhitch.ListFull, Entries: []ravenhitch.Entry{ready("a", "h1", 1)}})
+		b.submit("t1", c.class, "k1", 2000)
+		b.pass(10 * ms)
+		at := b.now - 10*ms
+		b.List(b.now, ravenhitch.List{Entries: []ravenhitch.Entry{ready("near", "h1", 1), ready("hall", "h1", 2), ready("far", "h2", 3)}})
+		if b.doubt = true; b.out["t1"] != "a" {
+			t.Fatalf("%s: offers %v", c.class, b.offers)
+		}
+		b.NodeEnded(b.now, "a", "t1", ravenhitch.Reset, 0)
+		for node, leaves := range c.leaves {
+			if why := b.MayLeave(at+699*ms, node, "t1"); (why == "") != leaves {
+				t.Errorf("%s to %s in the window: %q", c.class, node, why)
+			}
+			if why := b.MayLeave(at+700*ms, node, "t1"); (why == "") != (leaves && b.effects[c.class] != ravenhitch.Keyed) {
+				t.Errorf("%s to %s past the window: %q", c.class, node, why)
+			}
+		}
+		r := b.reqs["t1"]
+		if b.finish(r); b.final["t1"] != c.answer {
+			t.Errorf("%s: answered %v", c.class, b.final["t1"])
+		}
+	}
+}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -17,9 +17,9 @@
 type Nodes interface {
 	Offer(node string, o Offer)
 	// GiveUp withdraws an offer that was not answered, ahead of whatever is offered
-	// after it. It reports whether the attempt is over for sure; where it is not,
-	// NodeGaveUp tells when it is.
-	GiveUp(node, tag string) (sure bool)
+	// after it; again says that another attempt may follow. It reports whether the attempt
+	// is over for sure; where it is not, NodeGaveUp tells when it is.
+	GiveUp(node, tag string, again bool) (sure bool)
 	// Release ends a task that stands.
 	Release(node, tag string)
 	Probe(node string)
@@ -88,12 +88,14 @@
 // once the attempt is over for sure: a give-up that is still on its way, or lies in a
 // connection that fell silent, ends nothing. The answer does not wait for that.
 func (c *Core) giveUp(r *request, st ravenhitch.Status) {
-	if sure := c.nodes.GiveUp(r.node, r.Tag); sure || c.now >= r.deadline {
+	again := c.now < r.deadline && c.mayFollow(r) == ""
+	if sure := c.nodes.GiveUp(r.node, r.Tag, again); sure || c.now >= r.deadline {
 		c.ended(r, st, ravenhitch.WhyUntold)
 		return
 	}
 	c.to(r, ending)
-	r.endAs, r.mayRun = st, true
+	r.endAs = st
+	c.mayHaveRun(r)
 	c.arm(r, r.deadline)
 }
 
@@ -107,16 +109,25 @@
 	case ravenhitch.Moot:
 	case ravenhitch.TimedOut:
 		c.counts.TimedOut++
-		r.mayRun = true
+		c.mayHaveRun(r)
 	default:
 		c.counts.Reset++
-		r.mayRun = true
+		c.mayHaveRun(r)
 	}
 	c.to(r, waiting)
 	c.done(r, st, why, false)
 	c.arm(r, r.deadline)
 }
 
+// mayHaveRun notes that the attempt of r which is out, or was last, may have started.
+func (c *Core) mayHaveRun(r *request) {
+	if r.mayRun {
+		return
+	}
+	e := c.roster.last[r.node]
+	r.mayRun, r.ran = true, ran{node: r.node, zone: e.Zone, cell: e.Cell, at: r.sentAt}
+}
+
 // over is the end of a task that stood. Its owner is told, but where it asked
 // for the end itself.
 func (c *Core) over(r *request, st ravenhitch.Status, why ravenhitch.Why) {
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -157,19 +157,12 @@
 
 // place sends an offer, if no invariant stands against it.
 func (c *Core) place(r *request, a ravenhitch.Place) {
-	guard := ""
-	told, draining := c.told[a.Machine]
-	switch {
-	case r.state != waiting:
+	guard := c.mayFollow(r)
+	if r.state != waiting {
 		guard = "an attempt is out or the request is over"
-	case c.now >= r.deadline:
-		guard = "its time is up"
-	case c.set.AttemptsCap > 0 && r.attempts >= c.set.AttemptsCap:
-		guard = "no attempts are left"
-	case r.effect == ravenhitch.Unsafe && r.mayRun:
-		guard = "it may have started and must not start twice"
-	case draining && c.now >= told+max(0, c.set.DrainGraceUs-drainMargin):
-		guard = "the node drains"
+	}
+	if guard == "" {
+		guard = c.mayLeave(r, a.Machine)
 	}
 	if guard != "" {
 		c.trace("offer held back", r, "to", a.Machine, "why", guard)
@@ -193,16 +186,75 @@
 		WaitUs: r.abandon - c.now, Description: r.Description})
 }
 
+// mayFollow names what stands against a further attempt of r at any node, "" for nothing.
+func (c *Core) mayFollow(r *request) string {
+	switch {
+	case c.set.AttemptsCap > 0 && r.attempts >= c.set.AttemptsCap:
+		return "no attempts are left"
+	case r.effect == ravenhitch.Unsafe && r.mayRun:
+		return "it may have started and must not start twice"
+	}
+	return ""
+}
+
+// mayLeave names what stands against an offer of r that leaves for a node now, "" for nothing.
+func (c *Core) mayLeave(r *request, node string) string {
+	told, draining := c.told[node]
+	switch {
+	case c.now >= r.deadline:
+		return "its time is up"
+	case draining && c.now >= told+c.drainFor():
+		return "the node drains"
+	case r.effect == ravenhitch.Keyed && r.mayRun:
+		class, e := &c.set.Classes[r.class], c.roster.last[node]
+		switch {
+		case c.now >= r.ran.at+class.WindowUs:
+			return "it may have started, and nodes no longer know its repeats"
+		case class.Group == ravenhitch.ScopeZone && e.Zone != r.ran.zone,
+			class.Group == ravenhitch.ScopeCell && e.Cell != r.ran.cell:
+			return "it may have started at a node of another group"
+		}
+	}
+	return ""
+}
+
+// drainFor is for how long a node gets offers that was told to drain. The margin covers what
+// an offer may lie in this machine once it has left here.
+func (c *Core) drainFor() int64 {
+	return c.set.DrainGraceUs - min(drainMargin, c.set.DrainGraceUs/2)
+}
+
+// MayLeave names what stands against an offer that was placed before and leaves only now, as
+// its connection was not up, "" for nothing.
+func (c *Core) MayLeave(now int64, node, tag string) string {
+	c.now = now
+	r := c.reqs[tag]
+	if r == nil {
+		return "its request is over"
+	}
+	return c.mayLeave(r, node)
+}
+
+// repeatable reports whether a further start of r does no harm, wherever its owner goes.
+func (c *Core) repeatable(r *request) bool {
+	return !r.mayRun || r.effect == ravenhitch.Safe ||
+		r.effect == ravenhitch.Keyed && c.set.Classes[r.class].Group == ravenhitch.ScopeAll
+}
+
 // finish answers a request that was given up: refused where a retry is
 // harmless, else failed.
 func (c *Core) finish(r *request) {
-	if r.mayRun && r.effect != ravenhitch.Safe {
+	if !c.repeatable(r) {
 		c.fail(r)
 		return
 	}
 	c.withdraw(r)
 	c.counts.Refused++
-	c.answer(r, Answer{Kind: Refused, WaitUs: c.advisor.Refused(c.now, r.caller()), SinceUs: r.SinceUs, Tries: r.Tries + 1})
+	wait := c.advisor.Refused(c.now, r.caller())
+	if !c.set.Advice {
+		wait = 0
+	}
+	c.answer(r, Answer{Kind: Refused, WaitUs: wait, SinceUs: r.SinceUs, Tries: r.Tries + 1})
 	c.forget(r)
 }
 
@@ -218,7 +270,7 @@
 	switch r.state {
 	case out:
 		c.trace("given up", r)
-		c.nodes.GiveUp(r.node, r.Tag)
+		c.nodes.GiveUp(r.node, r.Tag, false)
 		c.done(r, ravenhitch.Cancelled, ravenhitch.WhyUntold, true)
 	case ending:
 		c.done(r, r.endAs, ravenhitch.WhyUntold, true)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -278,7 +278,11 @@
 	case err != nil:
 		return o.fault(m.Tag, err)
 	case s.At == "" && !o.bound && len(o.open) >= openMost:
-		o.Answer(core.Answer{Kind: core.Refused, Tag: m.Tag, WaitUs: idleLeast})
+		wait := int64(0)
+		if o.f.core.Advises() {
+			wait = idleLeast
+		}
+		o.Answer(core.Answer{Kind: core.Refused, Tag: m.Tag, WaitUs: wait})
 		o.f.log.Warn("a new connection has too many set-ups open", "open", len(o.open))
 		return nil
 	}
@@ -375,7 +379,9 @@
 		m = Message{Verb: verbStarted, Tag: a.Tag, Blob: a.Description, HasBlob: true}
 	case core.Refused:
 		m.RC = causeFull
-		m.Opts = []Field{{"wait", strconv.FormatInt((a.WaitUs+999)/1000, 10)}}
+		if a.WaitUs > 0 {
+			m.Opts = []Field{{"wait", strconv.FormatInt((a.WaitUs+999)/1000, 10)}}
+		}
 	case core.Failed:
 		m.RC = causeError
 	case core.Over:
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -51,7 +51,7 @@
 func (e *endings) any() bool { return e.test != "" }
 
 // GiveUp implements core.Nodes.
-func (n *Nodes) GiveUp(node, tag string) (sure bool) {
+func (n *Nodes) GiveUp(node, tag string, again bool) (sure bool) {
 	k := n.links[node]
 	if k == nil {
 		return true
@@ -66,9 +66,9 @@
 		n.trace("give up on the wire", tag, "node", node, "left", s.left(nc.c), "written", s.end > 0, "quiet_us", n.l.Now()-nc.readAt)
 		switch {
 		case s.end == 0: // it never left
-		case nc.readAt >= s.at:
+		case nc.readAt >= s.at && (n.tests || !again):
 			nc.giveUp(tag)
-			sure = false
+			sure = sure && !n.tests
 		default:
 			nc.end(errSilent)
 			k.crossed(func() { n.core.NodeGaveUp(n.l.Now(), node, tag) })
@@ -81,9 +81,14 @@
 }
 
 // giveUp writes a give-up, ahead of all that is written after it on any connection. Where
-// the system does not take it whole, the test behind it is not answered either.
+// the system does not take it whole, the test behind it is not answered either. Where the
+// deployment allows no tests nothing proves it, and no attempt may follow it.
 func (nc *nodeConn) giveUp(tag string) {
 	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
+	if !nc.k.n.tests {
+		nc.c.Push()
+		return
+	}
 	if nc.ends.any() {
 		nc.ends.next = append(nc.ends.next, tag)
 	} else {
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -172,19 +172,14 @@
 	}
 }
 
-// An offer on a connection that breaks before it left goes out on the next one,
-// once: it never ran, and the minion is not to blame.
-func TestOfferOnBrokenConnection(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+// newNodes returns links on a loop of their own, and the core that they serve.
+func newNodes(t *testing.T) (*loop.Loop, *Nodes, *core.Core) {
+	t.Helper()
 	l, err := loop.New(10)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := NewNodes(l, 1_000_000, slog.New(slog.DiscardHandler))
+	n := NewNodes(l, 1_000_000, true, slog.New(slog.DiscardHandler))
 	c, err := core.New(ravenhitch.Settings{FleetSize: 1, CoresMultiple: 1, MemoryMultiple: 1,
 		Classes: []ravenhitch.Class{{Name: "cut", Effect: ravenhitch.Unsafe, Kind: -1}},
 		Kinds:   []ravenhitch.Kind{{Name: "std", Cores: 1, Memory: 1}}}, 1, n, slog.New(slog.DiscardHandler))
@@ -192,8 +187,24 @@
 		t.Fatal(err)
 	}
 	n.Use(c)
+	return l, n, c
+}
+
+// An offer on a connection that breaks before it left goes out on the next one,
+// once: it never ran, and the minion is not to blame.
+func TestOfferOnBrokenConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l, n, c := newNodes(t)
 	n.Update("a", ln.Addr().String(), true)
-	n.Offer("a", core.Offer{Tag: "9b1f03aa5c7e2d41", Class: "cut", Key: "k", WaitUs: 5_000_000})
+	s := core.Setup{Tag: "9b1f03aa5c7e2d41", Class: "cut", Key: "k", WaitUs: 5_000_000, Cores: 1, Mem: 1}
+	if err := c.Submit(l.Now(), nil, s); err != nil {
+		t.Fatal(err)
+	}
+	n.Offer("a", core.Offer{Tag: s.Tag, Class: s.Class, Key: s.Key, WaitUs: s.WaitUs})
 	nc := n.links["a"].conns[0]
 	nc.c.Close()
 	nc.Closed(nc.c, unix.ECONNRESET)
@@ -231,18 +242,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	l, err := loop.New(10)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n := NewNodes(l, 1_000_000, slog.New(slog.DiscardHandler))
-	c, err := core.New(ravenhitch.Settings{FleetSize: 1, CoresMultiple: 1, MemoryMultiple: 1,
-		Classes: []ravenhitch.Class{{Name: "cut", Effect: ravenhitch.Unsafe, Kind: -1}},
-		Kinds:   []ravenhitch.Kind{{Name: "std", Cores: 1, Memory: 1}}}, 1, n, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.Use(c)
+	l, n, c := newNodes(t)
 	ch := NewChannel(l, c, n, ln.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
 	ch.cursor = 6
 	ch.Start()
@@ -364,3 +364,58 @@
 		}
 	}
 }
+
+// An offer whose connection comes up late does not leave where it must not any more: its
+// node drains past the limit, or nodes no longer know a repeat of what may have started.
+func TestOfferOnLateConnection(t *testing.T) {
+	const tag = "9b1f03aa5c7e2d41"
+	for _, c := range []struct {
+		name string
+		late func(now int64, c *core.Core)
+		sent bool
+	}{
+		{"nothing against it", func(int64, *core.Core) {}, true},
+		{"its node drains", func(now int64, c *core.Core) {
+			c.List(now, ravenhitch.List{Entries: []ravenhitch.Entry{{Machine: "a", State: ravenhitch.Draining}}})
+		}, false},
+		{"its node left the list", func(now int64, c *core.Core) { c.List(now, ravenhitch.List{Kind: ravenhitch.ListFull}) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			l, n, owed := newNodes(t)
+			owed.List(l.Now(), ravenhitch.List{Kind: ravenhitch.ListFull, Entries: []ravenhitch.Entry{{Machine: "a", Kind: "std"}}})
+			n.Update("a", ln.Addr().String(), true)
+			s := core.Setup{Tag: tag, Class: "cut", Key: "k", WaitUs: 5_000_000, Cores: 1, Mem: 1}
+			if err := owed.Submit(l.Now(), nil, s); err != nil {
+				t.Fatal(err)
+			}
+			n.Offer("a", core.Offer{Tag: s.Tag, Class: s.Class, Key: s.Key, WaitUs: s.WaitUs})
+			nc := n.links["a"].conns[0]
+			c.late(l.Now(), owed)
+			if err := l.Run(func(int64) { // until the connection is up and what came of that is told
+				if n.Gather(); nc.wasUp {
+					l.Stop()
+				}
+			}); err != nil {
+				t.Error(err)
+			}
+			if open := nc.open[tag] != nil; open != c.sent {
+				t.Errorf("open on its connection: %v", open)
+			}
+			l.Close()
+			got, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			got.SetReadDeadline(time.Now().Add(10 * time.Second))
+			text, err := io.ReadAll(got)
+			if err != nil || strings.Contains(string(text), `"verb":"START"`) != c.sent {
+				t.Errorf("the minion got %q, %v", text, err)
+			}
+		})
+	}
+}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -42,6 +42,8 @@
 	// it has before it counts as dead: well over the pause of a busy one, and with
 	// quietMost and two sweeps before it still under the 8 s in which an end is to be told.
 	deadAfter = 2_000_000
+	// deadUntested is the same where the deployment allows no tests.
+	deadUntested = 4_000_000
 	// strayMost bounds the connections to one minion.
 	strayMost = 4
 	// halfMost is how long half a message may wait for its rest. Minions write theirs
@@ -61,14 +63,16 @@
 	log     *Limited
 	tracer  core.Tracer
 	dialUs  int64
+	tests   bool // minions may be sent tests
 	links   map[string]*link
 	tries   int64    // offers that left whole and are settled
 	pending []func() // outcomes found while the core was acting
 }
 
-// NewNodes returns the links, of which there are none yet. Use sets the core.
-func NewNodes(l *loop.Loop, dialUs int64, log *slog.Logger) *Nodes {
-	return &Nodes{l: l, dialUs: dialUs, log: NewLimited(log), tracer: core.Tracer{Log: log}, links: map[string]*link{}}
+// NewNodes returns the links, of which there are none yet; tests says that minions may be
+// sent tests. Use sets the core.
+func NewNodes(l *loop.Loop, dialUs int64, tests bool, log *slog.Logger) *Nodes {
+	return &Nodes{l: l, dialUs: dialUs, tests: tests, log: NewLimited(log), tracer: core.Tracer{Log: log}, links: map[string]*link{}}
 }
 
 // Trace limits the trace to the tags that end in one of the endings; none traces all.
@@ -254,7 +258,16 @@
 	}
 }
 
+// start writes an offer, if nothing stands against it by now: its connection may have come
+// up late, or another broken under it.
 func (nc *nodeConn) start(s *sent) {
+	n, id := nc.k.n, nc.k.id
+	if why := n.core.MayLeave(n.l.Now(), id, s.Tag); why != "" {
+		n.trace("an offer came too late to leave", s.Tag, "node", id, "why", why)
+		nc.settled(s)
+		n.later(func() { n.core.NodeEnded(n.l.Now(), id, s.Tag, ravenhitch.Moot, ravenhitch.WhyUntold) })
+		return
+	}
 	m := Message{Verb: verbStart, Tag: s.Tag, Blob: s.Description, HasBlob: true, Opts: []Field{{"class", s.Class},
 		{"key", s.Key}, {"left", strconv.FormatInt(max(1, (s.until-nc.k.n.l.Now())/1000), 10)}}}
 	if s.Idem != "" {
@@ -372,12 +385,16 @@
 	if k.refusedAt == 0 {
 		k.refusedAt = now
 		for _, nc := range k.conns {
-			if nc.c.Up() {
+			if nc.c.Up() && k.n.tests {
 				nc.send(&Message{Verb: verbEcho, Tag: fmt.Sprintf("%016x", now), HasRC: true})
 			}
 		}
 	}
-	if !k.broke && now-k.refusedAt < deadAfter {
+	wait := int64(deadAfter)
+	if !k.n.tests {
+		wait = deadUntested
+	}
+	if !k.broke && now-k.refusedAt < wait {
 		return
 	}
 	k.broke, k.refusedAt = false, 0
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -19,7 +19,7 @@
  "Flavors":["node-32","node-64"],"FamilyInfo":{"View":true,"SaysYes":"accepted","CoresMultiple":1.0,"MemoryMultiple":1.0,
  "SizeCores":[28,56],"MemoryByKind":[60,120],"UnitCores":0.83,"UnitMemory":1.78,"Counts":"asked","ApartBy":["none","none","none"],
  "CalmLevel":[0.8,0.8,0.8],"LostAfter":[0.25,0.25,0.25],"KindByClass":[-1,-1,-1],"ClassMost":[0,0,0],"ClassStartS":[10,10,8],
- "FreshOffers":25.0},"Limits":{"AttemptsCap":3,"Probes":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":%d},
+ "FreshOffers":25.0},"Limits":{"AttemptsCap":3,"Probes":true,"RetryAfter":true,"Cancel":true,"DialTimeoutUs":250000,"MaxRetryAfterUs":%d},
  "Report":{"How":"answers","Fields":["x0","x1"]},"Parties":[],
  "Rules":{"AnswerSlackUs":8000,"AskWithinUs":10000000,"ColdShare":0.21,"ColdUs":16000000,"DrainGraceUs":2000000,
  "FallMultiple":4.0,"OverloadForUs":3000000},"RequestClasses":[
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -43,6 +43,7 @@
 	dials  int            // connections so far
 	untold []Line         // ends that found no connection
 	gone   bool           // it says nothing any more
+	tests  int            // that came
 }
 
 // NewMinion starts a minion that follows its script.
@@ -207,6 +208,9 @@
 			}
 			m.Ends <- l
 		case l.Verb == "ECHO":
+			m.mu.Lock()
+			m.tests++
+			m.mu.Unlock()
 			Send(c, Finish("ECHOED", l.Tag, 1))
 		}
 	}
@@ -311,6 +315,13 @@
 	return m.count[key]
 }
 
+// Tests is how many tests came.
+func (m *Minion) Tests() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tests
+}
+
 // Dials is how many connections came, and how many are open.
 func (m *Minion) Dials() (came, open int) {
 	m.mu.Lock()
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -110,6 +110,8 @@
 		HasView:         c.bool("FamilyInfo.View"),
 		AcksRunning:     c.m["FamilyInfo.SaysYes"] == "running",
 		Probes:          c.bool("Limits.Probes") && c.m["Report.How"] == "probe",
+		Tests:           c.bool("Limits.Probes"),
+		Advice:          c.bool("Limits.RetryAfter"),
 		Cancel:          c.bool("Limits.Cancel"),
 		ReportsUsed:     c.m["FamilyInfo.Counts"] == "used",
 		CoresMultiple:   c.num("FamilyInfo.CoresMultiple"),
