Tell ends to whom a task was handed in for, and end only once nothing is owed

Ruled out: a word of the minion that was lost (the end is in the log), a connection that had closed (it was up).

Change: who repeats what is known here gets nothing of it. Ends without a connection go to one a task was started for, then one that said where a task runs, then any that speaks, and wait half a second for a better one. A set-up whose client has closed behind it is found closed in the same turn (loop.read) and never offered. After SIGTERM the program waits, up to its last call, for half a set-up, answers not yet read, ends without an owner and releases not heard of; after the last call 0.2 s for slow readers. Connections with an attempt out are reset at the exit, not closed.

Tests: TestEndGoesToItsOwner, TestEndWaitsForAnOwner, TestLeftBeforeItWasRead, TestOwedAtTheEnd, TestAnsweredAtTheLastCall, TestWaysAtTheEnd, TestOwnersOverTheLimit.

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -4,7 +4,14 @@
 // crossing a test. What opens and closes a crossing is an event, never a time that passes.
 
 import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
 	"log/slog"
+	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,3 +59,328 @@
 
 // deadRefuse is how long what refuses and is silent lives at the most.
 const deadRefuse = 2 * time.Second
+
+// running is a set-up of a task that a minion holds already.
+func running(tag, minion string) standin.Line {
+	l := standin.SetUp(tag, "guide-web", "ok-"+tag, 5000)
+	l.Opts["extras"] += ";at:" + minion
+	return l
+}
+
+// asked lets an owner test the program, and so what it sent before is read.
+func asked(t *testing.T, o *standin.Owner) {
+	t.Helper()
+	standin.Send(o, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+	l := standin.Wait(t, "the test", o.Lines)
+	if l.Verb == "FINISHED" { // heard of a release sent before
+		l = standin.Wait(t, "the test", o.Lines)
+	}
+	if l.Verb != "ECHOED" {
+		t.Fatalf("got %v", l)
+	}
+}
+
+// Whoever repeats the set-up of a task that runs gets nothing of it: the end goes to who
+// handed it in, and where that one is gone to one that a task was started for.
+func TestEndGoesToItsOwner(t *testing.T) {
+	w := newWorld(t, "a")
+	first, served, second := w.owner(t), w.owner(t), w.owner(t)
+	for i := 1; i <= 2; i++ {
+		standin.Send(first, running(standin.Tag(i), "a"))
+	}
+	asked(t, first)
+	standin.Send(served, standin.SetUp(standin.Tag(3), "guide-web", "ok-3", 5000))
+	if l := standin.Wait(t, "the answer", served.Lines); l.Verb != "STARTED" {
+		t.Fatalf("got %v", l)
+	}
+	for i := 1; i <= 2; i++ {
+		standin.Send(second, running(standin.Tag(i), "a"))
+	}
+	standin.Send(second, running(standin.Tag(4), "a")) // one that nobody else knows of
+	asked(t, second)
+	w.minions[0].End(standin.Tag(1), 16)
+	if l := standin.Wait(t, "the end", first.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
+		t.Errorf("got %v", l)
+	}
+	first.Close()
+	w.until(t, "its connection is gone", func() bool { return w.front.Connections() == 2 })
+	w.minions[0].End(standin.Tag(2), 16)
+	if l := standin.Wait(t, "the second end", served.Lines); l.Tag != standin.Tag(2) || l.Cause() != 16 {
+		t.Errorf("got %v", l)
+	}
+	for range 9 { // some that only speak
+		asked(t, w.owner(t))
+	}
+	served.Close()
+	w.until(t, "its connection is gone", func() bool { return w.front.Connections() == 10 })
+	w.minions[0].End(standin.Tag(3), 16)
+	if l := standin.Wait(t, "the third end", second.Lines); l.Tag != standin.Tag(3) || l.Cause() != 16 {
+		t.Errorf("got %v", l)
+	}
+}
+
+// An end that found no owner waits for one that is known to be, while others come that may
+// be anybody; where only those come, it goes to one of them in time.
+func TestEndWaitsForAnOwner(t *testing.T) {
+	faulty := standin.SetUp(standin.Tag(2), "no-such-class", "ok-2", 5000)
+	for _, c := range []struct {
+		name string
+		says []standin.Line // the one that gets the end
+		hear []string       // and what it hears before that, where nobody else is there
+	}{
+		{"a task is started for it", []standin.Line{standin.SetUp(standin.Tag(3), "guide-web", "ok-3", 5000)}, nil},
+		{"it says where one runs", []standin.Line{running(standin.Tag(4), "a"), faulty}, nil},
+		{"it tests, as the platform does", []standin.Line{{Verb: "ECHO", Tag: "t", Opts: map[string]string{}}}, nil},
+		{"nobody better comes", []standin.Line{faulty}, []string{"FINISH"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, "a")
+			first := w.owner(t)
+			standin.Send(first, running(standin.Tag(1), "a"))
+			standin.Send(first, running(standin.Tag(5), "a"))
+			asked(t, first)
+			first.Close()
+			w.until(t, "no owner", func() bool { return w.front.Connections() == 0 })
+			w.minions[0].End(standin.Tag(1), 16)
+			w.until(t, "the end here", func() bool { return w.c.Standing() == 1 })
+			bad := w.owner(t)
+			standin.Send(bad, running(standin.Tag(5), "a")) // which it may have heard of
+			standin.Send(bad, faulty)
+			if l := standin.Wait(t, "the error", bad.Lines); l.Tag != standin.Tag(2) || l.Cause() != 47 {
+				t.Fatalf("got %v", l)
+			}
+			if len(c.hear) > 0 {
+				bad.Close()
+				w.until(t, "nobody", func() bool { return w.front.Connections() == 0 })
+			}
+			good := w.owner(t)
+			for _, l := range c.says {
+				standin.Send(good, l)
+			}
+			for _, verb := range c.hear {
+				if l := standin.Wait(t, "what comes before", good.Lines); l.Verb != verb || l.Tag == standin.Tag(1) {
+					t.Fatalf("got %v", l)
+				}
+			}
+			if l := standin.Wait(t, "the end", good.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
+				t.Errorf("got %v", l)
+			}
+		})
+	}
+}
+
+// A set-up whose owner has closed before it is read goes nowhere.
+func TestLeftBeforeItWasRead(t *testing.T) {
+	w := newWorld(t, "a")
+	w.until(t, "a connection to the minion", func() bool { n, _ := w.minions[0].Dials(); return n > 0 })
+	held, on := make(chan bool), make(chan bool)
+	w.l.Post(func() {
+		held <- true
+		<-on
+	})
+	<-held
+	o := w.owner(t)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	o.Close()
+	on <- true
+	next := w.owner(t)
+	standin.Send(next, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
+	if l := standin.Wait(t, "the offer", w.minions[0].Starts); l.Tag != standin.Tag(2) {
+		t.Errorf("%s was offered", l.Tag)
+	}
+	standin.Wait(t, "the answer", next.Lines)
+	if n := w.c.Counts().Offers; n != 1 {
+		t.Errorf("%d offers", n)
+	}
+}
+
+// slowReader connects an owner that has more answers to read than the system takes.
+func slowReader(t *testing.T, w *world) net.Conn {
+	// A room of its own for what it has not read: the system would go on widening it.
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	o, err := d.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { o.Close() })
+	kept := 0 // turns in which something was left since the last was sent
+	w.until(t, "more answers than the system takes", func() bool {
+		if kept++; w.front.Owes() {
+			return kept == 5
+		}
+		kept = 0
+		for range 100 {
+			standin.Send(o, standin.Line{Verb: "ECHO", Tag: strings.Repeat("t", 64), Opts: map[string]string{}})
+		}
+		return false
+	})
+	return o
+}
+
+// At the last call the program does not end in the turn in which it answers what is open:
+// who reads slowly has a moment for that.
+func TestAnsweredAtTheLastCall(t *testing.T) {
+	w := newWorldSet(t, settingsWith(t, change{"RequestClasses.0.DeadlineUs", 500_000}, change{"RequestClasses.1.DeadlineUs", 500_000}),
+		config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+	o := slowReader(t, w)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "archive-cut", "silent-1", 60_000))
+	standin.Wait(t, "the offer", w.minions[0].Starts)
+	after := make(chan bool, 1)
+	var look func()
+	look = func() {
+		if w.c.Open() > 0 {
+			w.l.After(1000, look)
+			return
+		}
+		w.l.After(1000, func() { after <- true }) // a turn after that
+	}
+	w.on(t, look)
+	w.Stop()
+	select {
+	case <-after:
+	case <-w.over:
+		t.Fatal("it ended as it answered")
+	}
+	standin.Wait(t, "the end, with nothing read", w.over)
+}
+
+// At the end of the program a connection on which an attempt may be out is reset: what lies
+// in it would else be delivered when nobody waits for it. Others are closed.
+func TestWaysAtTheEnd(t *testing.T) {
+	for name, out := range map[string]bool{"an attempt is out": true, "nothing is": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			w := newWorldSet(t, settingsWith(t, change{"RequestClasses.0.DeadlineUs", 500_000}, change{"RequestClasses.1.DeadlineUs", 500_000}),
+				config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+			w.minions[0].Shut()
+			w.feed.Add(false, w.minions[0].MemberAt("up", ln.Addr().String()))
+			node, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			node.SetReadDeadline(time.Now().Add(standin.Patience))
+			r := bufio.NewReader(node)
+			if out {
+				standin.Send(w.owner(t), standin.SetUp(standin.Tag(1), "archive-cut", "k", 60_000))
+				if b, err := r.ReadString('\n'); err != nil || !strings.Contains(b, "START") {
+					t.Fatalf("the offer is %q, %v", b, err)
+				}
+				// Its last word comes after the offer: what is given up is written.
+				standin.Send(node, standin.Line{Verb: "NOTICE", Tag: standin.Tag(0), Opts: map[string]string{"note": "up", "value": "0"}})
+			}
+			w.Stop()
+			standin.Wait(t, "the end", w.over)
+			if _, err := io.Copy(io.Discard, r); errors.Is(err, syscall.ECONNRESET) != out {
+				t.Errorf("the connection's end is %v", err)
+			}
+		})
+	}
+}
+
+// What is owed when the program is told to end, beyond the time in which set-ups come,
+// holds its end back until it is given.
+func TestOwedAtTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		alone bool // how it is given needs a new connection, which a successor gets
+		// owe brings it about that something is owed, and returns how it is given.
+		owe func(t *testing.T, w *world) func()
+	}{
+		{"half a set-up has come", false, func(t *testing.T, w *world) func() {
+			o := w.owner(t)
+			b, err := json.Marshal(standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+			if err != nil {
+				t.Fatal(err)
+			}
+			asked(t, o)
+			o.Write(b[:len(b)/2])
+			w.until(t, "half a set-up", w.front.Owes)
+			return func() {
+				o.Write(append(b[len(b)/2:], '\n'))
+				if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" {
+					t.Errorf("got %v", l)
+				}
+			}
+		}},
+		{"an answer lies behind what its owner has not read", false, func(t *testing.T, w *world) func() {
+			o := slowReader(t, w)
+			standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+			w.until(t, "a task", func() bool { return w.c.Standing() == 1 })
+			return func() {
+				o.SetReadDeadline(time.Now().Add(standin.Patience))
+				for r := bufio.NewScanner(o); r.Scan(); {
+					if strings.Contains(r.Text(), "STARTED") {
+						return
+					}
+				}
+				t.Error("the answer never came")
+			}
+		}},
+		{"a release was not heard", false, func(t *testing.T, w *world) func() {
+			o := w.owner(t)
+			standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+			if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" {
+				t.Fatalf("got %v", l)
+			}
+			w.minions[0].Vanish()
+			standin.Send(o, standin.Finish("FINISH", standin.Tag(1), 16))
+			asked(t, o)
+			return func() { w.minions[0].End(standin.Tag(1), 31) }
+		}},
+		{"an end has found no owner", true, func(t *testing.T, w *world) func() {
+			o := w.owner(t)
+			standin.Send(o, running(standin.Tag(1), "a"))
+			asked(t, o)
+			o.Close()
+			w.until(t, "no owner", func() bool { return w.front.Connections() == 0 })
+			w.minions[0].End(standin.Tag(1), 16)
+			w.until(t, "the end here", w.front.Owes)
+			return func() {
+				o := w.owner(t)
+				standin.Send(o, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
+				if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
+					t.Errorf("got %v", l)
+				}
+			}
+		}},
+	} {
+		play := func(t *testing.T, successor bool) {
+			t.Parallel()
+			w := newWorld(t, "a")
+			give := c.owe(t, w)
+			began := int64(0)
+			w.on(t, func() { w.inherited, w.heir, began = successor, successor, w.l.Now() })
+			w.Stop()
+			for limit, age := time.Now().Add(standin.Patience), int64(0); age < stillComing+100_000; {
+				select {
+				case <-w.over:
+					t.Fatal("it ended with that owed")
+				case <-time.After(time.Millisecond):
+				}
+				if time.Now().After(limit) {
+					t.Fatal("its clock stands still")
+				}
+				w.l.Post(func() { w.aged <- w.l.Now() - began })
+				select {
+				case age = <-w.aged:
+				case <-w.over:
+					t.Fatal("it ended with that owed")
+				}
+			}
+			give()
+			standin.Wait(t, "the end of the program", w.over)
+		}
+		t.Run(c.name, func(t *testing.T) { play(t, false) })
+		if !c.alone {
+			t.Run(c.name+", beside a successor", func(t *testing.T) { play(t, true) })
+		}
+	}
+}
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -43,6 +43,8 @@
 	deadlineBeside = 5_000_000
 	killSlack      = 700_000
 	quitEarly      = 300_000
+	// quitFlush is how long of that the last answers may take to be read.
+	quitFlush = 200_000
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
@@ -192,6 +194,7 @@
 		p.c.Advise(storm.New(s, cfg.Seed))
 	}
 	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
+	p.front.Trace(edge.Trace)
 	p.lastCall = lastCall(cfg.Settings, deadlineMost)
 	p.inherited = cfg.Inherited > 0
 	p.lastBeside = lastCall(cfg.Settings, deadlineBeside)
@@ -370,6 +373,7 @@
 	defer close(p.over)
 	var timer *loop.Timer
 	var due int64
+	defer p.nodes.Close()
 	err := p.l.Run(func(now int64) {
 		p.c.Took(p.l.Took())
 		p.nodes.Gather()
@@ -397,15 +401,31 @@
 func (p *program) end(since int64) {
 	switch age := p.l.Now() - since; {
 	case age >= p.lastCall:
-		p.c.Quit(p.l.Now())
-		p.l.Stop()
-	case age >= stillComing && p.c.Open() == 0 && !p.l.Queued():
+		p.quit(since, p.lastCall)
+	case age >= stillComing && !p.owes() && !p.l.Queued():
 		p.l.Stop()
 	default:
 		p.l.After(10_000, func() { p.end(since) })
 	}
 }
 
+// owes reports whether an end now would lose something that is owed: an answer or a part of
+// one, a release, a minion's word on one.
+func (p *program) owes() bool {
+	return p.c.Open() > 0 || p.front.Owes() || p.nodes.Owes()
+}
+
+// quit answers what is open at the last call, and ends once the owners have taken that, or
+// shortly before the kill.
+func (p *program) quit(since, last int64) {
+	p.c.Quit(p.l.Now())
+	if !p.front.Owes() || p.l.Now()-since >= last+quitFlush {
+		p.l.Stop()
+		return
+	}
+	p.l.After(10_000, func() { p.quit(since, last) })
+}
+
 // handOver ends a process whose owners' socket the platform holds. Where an heir serves
 // it, whoever comes goes there at once, and what is open here is answered. Where none
 // does, callers come on as before and would wait in the system's queue for the next
@@ -421,9 +441,8 @@
 	}
 	switch {
 	case age >= last:
-		p.c.Quit(p.l.Now())
-		p.l.Stop()
-	case p.heir && age >= stillComing && p.c.Open() == 0:
+		p.quit(since, last)
+	case p.heir && age >= stillComing && !p.owes():
 		p.l.Stop()
 	default:
 		p.l.After(10_000, func() { p.handOver(since) })
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -69,9 +69,9 @@
 	}
 }
 
-// At the limit of connections one that never said anything makes room first, then
-// one with nothing open on it that was quiet for a while; one that is owed an answer
-// never does.
+// At the limit of connections one that never said anything makes room first, before one
+// that has begun to, then one with nothing open on it that was quiet for a while; one that
+// is owed an answer never does.
 func TestOwnersOverTheLimit(t *testing.T) {
 	w := newWorldLimited(t, 64, "a") // 32 descriptors aside, three quarters of the rest for owners
 	busy := w.owner(t)
@@ -80,8 +80,15 @@
 	spoke := w.owner(t)
 	standin.Send(spoke, standin.Line{Verb: "ECHO", Tag: "t", Opts: map[string]string{}})
 	standin.Wait(t, "the test", spoke.Lines)
-	closed := make(chan bool, 22)
-	for range 22 {
+	half, rest := w.owner(t), standin.SetUp(standin.Tag(3), "guide-web", "ok-3", 6000)
+	b, err := json.Marshal(rest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	half.Write(b[:len(b)/2])
+	w.until(t, "half a set-up", w.front.Owes)
+	closed := make(chan bool, 21)
+	for range 21 {
 		idle := w.owner(t)
 		go func() {
 			for range idle.Lines {
@@ -99,7 +106,11 @@
 	if d := time.Since(began); d > time.Second {
 		t.Errorf("the late owner waited %s", d)
 	}
-	for range 22 { // all of them, in time
+	half.Write(append(b[len(b)/2:], '\n'))
+	if l := standin.Wait(t, "the answer of the one that writes slowly", half.Lines); l.Verb != "STARTED" {
+		t.Errorf("got %v", l)
+	}
+	for range 21 { // all of them, in time
 		standin.Wait(t, "the end of a silent connection", closed)
 	}
 	if d := time.Since(began); d > 3*time.Second {
--- a/cmd/ravenhitch/standin_test.go
+++ b/cmd/ravenhitch/standin_test.go
@@ -78,6 +78,7 @@
 	feed    *standin.Feed
 	minions []*standin.Minion
 	over    chan error
+	aged    chan int64 // how old it is by its own clock, where a test asks
 }
 
 func newWorld(t *testing.T, names ...string) *world {
@@ -104,7 +105,7 @@
 // newWorldSet is the same under other settings.
 func newWorldSet(t *testing.T, settings string, edge config.Edge, sockets int64, log *slog.Logger, by func(*standin.Minion),
 	names ...string) *world {
-	w := &world{feed: standin.NewFeed(t), over: make(chan error, 1)}
+	w := &world{feed: standin.NewFeed(t), over: make(chan error, 1), aged: make(chan int64, 1)}
 	var members []string
 	for _, n := range names {
 		m := standin.NewMinion(t, n)
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -66,7 +66,7 @@
 func (c *Core) Submit(now int64, o Owner, s Setup) error {
 	c.now = now
 	if s.At != "" && c.reqs[s.Tag] != nil {
-		c.reopen(c.reqs[s.Tag], o, s)
+		c.reopen(c.reqs[s.Tag], s)
 		return nil
 	}
 	if s.Resumes {
@@ -181,11 +181,11 @@
 	}
 }
 
-// reopen takes a task found running whose tag is known here. The node's word
-// came another way; what the table holds of it goes on.
-func (c *Core) reopen(r *request, o Owner, s Setup) {
+// reopen takes a task found running whose tag is known here. What the table holds of it
+// goes on, its owner too: whoever repeats a tag that it may have heard of would else get the
+// end that another is owed. Where that one is gone, its front finds another.
+func (c *Core) reopen(r *request, s Setup) {
 	if r.state == standing || r.state == leaving {
-		r.owner = o
 		return
 	}
 	c.log.Warn("a task found running is known here as not standing", "tag", s.Tag, "node", s.At)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -437,6 +437,9 @@
 // the system has accepted. What was not given has not reached the other side.
 func (c *Conn) Taken() int64 { return c.taken }
 
+// Unsent is how many bytes wait for the system to take them.
+func (c *Conn) Unsent() int { return len(c.out) }
+
 // Given is described at Taken.
 func (c *Conn) Given() int64 { return c.given }
 
@@ -585,7 +588,7 @@
 		}
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
-		if err := c.read(); err != nil {
+		if err := c.read(events&unix.EPOLLRDHUP != 0); err != nil {
 			c.fail(err)
 			return
 		}
@@ -601,7 +604,9 @@
 	}
 }
 
-func (c *Conn) read() error {
+// read hands over what came; ended says that the other side has closed its end, which is
+// then found in the same turn as what came before it: who has left already is not served.
+func (c *Conn) read(ended bool) error {
 	for i := 0; i < readsATurn && !c.closed; i++ {
 		asked := c.l.clock()
 		n, err := unix.Read(c.fd, c.l.buf)
@@ -632,7 +637,7 @@
 		if len(c.in) == 0 && cap(c.in) > keptMost {
 			c.in = nil
 		}
-		if n < len(c.l.buf) {
+		if n < len(c.l.buf) && !ended {
 			c.emptyAt = asked
 			return nil
 		}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -35,11 +35,12 @@
 	l      *loop.Loop
 	core   *core.Core
 	log    *Limited
+	tracer core.Tracer
 	most   int   // connections
 	idleUs int64 // after which a connection without a set-up is closed
 	conns  map[*owner]bool
-	latest *owner   // the one that spoke last, of those that a task was bound for
-	unsent [][]byte // releases that found no connection
+	latest *owner   // the one that spoke last, of those that a task was started for
+	unsent []unsent // releases that found no connection
 	dials  uint64   // connections so far
 }
 
@@ -55,8 +56,11 @@
 	// does is owed a close within 3 s.
 	hushMost   = 2_400_000
 	sweepEvery = 250_000
-	// unsentMost bounds the releases that wait for an owner to connect.
+	// unsentMost bounds the releases that wait for an owner to connect, and unsentHold how
+	// long they wait for one that is known to be an owner while others are connected: half of
+	// the second in which an owner is to be told.
 	unsentMost = 10_000
+	unsentHold = 500_000
 	// A connection on which no task was bound yet may have openMost set-ups open,
 	// more are refused at once, and faultsMost messages that can't be used. It guards
 	// the turn of the usual owners, whose connections carry tasks that stand.
@@ -70,12 +74,30 @@
 // NewFront returns a front that holds at most so many connections, each for
 // idleUs after its last message at the longest, 0 for ever.
 func NewFront(l *loop.Loop, c *core.Core, most int, idleUs int64, log *slog.Logger) *Front {
-	return &Front{l: l, core: c, most: most, idleUs: idleUs, log: NewLimited(log), conns: map[*owner]bool{}}
+	return &Front{l: l, core: c, most: most, idleUs: idleUs, log: NewLimited(log), tracer: core.Tracer{Log: log},
+		conns: map[*owner]bool{}}
 }
 
+// Trace limits the trace to the tags that end in one of the endings; none traces all.
+func (f *Front) Trace(endings []string) { f.tracer.Endings = endings }
+
 // Connections is how many owners are connected.
 func (f *Front) Connections() int { return len(f.conns) }
 
+// Owes reports whether an end now would lose something: part of a set-up is on its way, an
+// answer waits for its owner to read, or a release for an owner to connect.
+func (f *Front) Owes() bool {
+	if len(f.unsent) > 0 {
+		return true
+	}
+	for o := range f.conns {
+		if o.halfAt > 0 || o.c.Unsent() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Listen starts to accept owners at addr, or on the listening socket fd where that is
 // not 0: it belongs to the platform, which keeps it from one process to the next.
 func (f *Front) Listen(addr string, fd int) (string, error) {
@@ -126,6 +148,11 @@
 			o.end()
 		}
 	}
+	if len(f.unsent) > 0 && now-f.unsent[0].at > unsentHold {
+		if o := f.any(); o != nil {
+			f.flush(o)
+		}
+	}
 	f.l.After(sweepEvery, f.sweep)
 }
 
@@ -137,21 +164,38 @@
 }
 
 // any returns a connection that is up, or nil: the one used last of those that a
-// task was bound for, else of those that spoke. It keeps releases from going to
-// ones that never had a task.
+// task was started for, else of those that said where one runs, else of those that spoke.
+// It keeps releases from going to ones that never had a task: whoever connects may be anybody.
 func (f *Front) any() *owner {
 	if f.latest != nil && f.latest.c.Up() {
 		return f.latest
 	}
 	var best *owner
 	for o := range f.conns {
-		if o.c.Up() && o.spoke && (best == nil || o.bound && !best.bound || o.bound == best.bound && o.usedAt > best.usedAt) {
+		if o.c.Up() && o.spoke && (best == nil || o.use() > best.use() || o.use() == best.use() && o.usedAt > best.usedAt) {
 			best = o
 		}
 	}
 	return best
 }
 
+// unsent is a release that found no connection.
+type unsent struct {
+	at   int64
+	text []byte
+}
+
+// flush sends an owner the releases that found no connection.
+func (f *Front) flush(o *owner) {
+	if !o.c.Up() {
+		return
+	}
+	for _, u := range f.unsent {
+		o.c.Write(u.text)
+	}
+	f.unsent = nil
+}
+
 // owner is one connection. It is the core.Owner of the set-ups that came on it.
 type owner struct {
 	f      *Front
@@ -160,17 +204,23 @@
 	usedAt int64           // when it came, or when its last whole message did
 	halfAt int64           // since when half a message waits for the rest, or 0
 	spoke  bool            // a whole message came
-	bound  bool            // a task of its was bound, or found running
+	bound  bool            // a task of its was started, or found running
+	served bool            // a task of its was started
 	faults int             // messages that can't be used
 	number uint64          // of the connection, from 1
 }
 
-// use is what the connection was good for so far: nothing, a word, a task.
+// use is what the connection was good for so far: nothing, a part of its first word, a
+// word, the word that a task of its runs, the start of one.
 func (o *owner) use() int {
 	switch {
+	case o.served:
+		return 4
 	case o.bound:
-		return 2
+		return 3
 	case o.spoke:
+		return 2
+	case o.halfAt > 0:
 		return 1
 	}
 	return 0
@@ -235,13 +285,9 @@
 // message takes one message. An error ends the connection.
 func (o *owner) message(now int64, m *Message) error {
 	o.usedAt, o.spoke = now, true
-	if o.bound {
+	if o.served {
 		o.f.latest = o
 	}
-	for _, b := range o.f.unsent {
-		o.c.Write(b)
-	}
-	o.f.unsent = nil
 	switch m.Verb {
 	case verbStart:
 		return o.setup(now, m)
@@ -255,6 +301,7 @@
 		}
 		o.send(&Message{Verb: verbFinished, Tag: m.Tag})
 	case verbEcho:
+		o.f.flush(o)
 		o.send(&Message{Verb: verbEchoed, Tag: m.Tag, RC: 1, HasRC: true})
 	case verbPending, verbFinished, verbEchoed, verbNotice:
 	default:
@@ -287,13 +334,15 @@
 		return nil
 	}
 	s.CameUs, s.From = o.c.Since(), o.number
+	known := o.f.core.Stands(s.Tag) || o.f.core.Leaves(s.Tag)
 	if err := o.f.core.Submit(now, o, s); err != nil {
 		return o.fault(m.Tag, err)
 	}
 	if s.At == "" {
 		o.open[s.Tag] = true
-	} else if o.f.core.Listed(s.At) {
-		o.bound, o.f.latest = true, o
+	} else if !known && o.f.core.Listed(s.At) { // who repeats what is known may be anybody
+		o.bound = true
+		o.f.flush(o)
 	}
 	return nil
 }
@@ -394,7 +443,8 @@
 	}
 	switch a.Kind {
 	case core.Started:
-		o.bound = true
+		o.bound, o.served, o.f.latest = true, true, o
+		o.f.flush(o)
 		fallthrough
 	case core.Refused, core.Failed:
 		delete(o.open, a.Tag)
@@ -406,11 +456,13 @@
 		to = o.f.any()
 	}
 	if to != nil {
+		o.f.tracer.Step("end told", a.Tag, o.f.l.Now(), "connection", to.number, "own", to == o, "use", to.use())
 		to.send(&m)
 		return
 	}
+	o.f.tracer.Step("end finds no owner", a.Tag, o.f.l.Now())
 	if len(o.f.unsent) < unsentMost {
-		o.f.unsent = append(o.f.unsent, Append(nil, &m))
+		o.f.unsent = append(o.f.unsent, unsent{o.f.l.Now(), Append(nil, &m)})
 	}
 }
 
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -201,6 +201,29 @@
 	}
 }
 
+// Owes reports whether a release of a task that stands was not heard of yet.
+func (n *Nodes) Owes() bool {
+	for _, k := range n.links {
+		if len(k.unheard) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends all connections at the end of the program. Where an attempt may be out, what
+// lies in the system is thrown away: it would go on being sent, and a set-up would arrive
+// when nobody waits for it.
+func (n *Nodes) Close() {
+	for _, k := range n.links {
+		for _, nc := range k.conns {
+			if len(nc.open) > 0 || nc.ends.any() {
+				nc.c.Abort()
+			}
+		}
+	}
+}
+
 func (nc *nodeConn) release(tag string) {
 	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 }
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -371,14 +371,17 @@
 	const tag = "9b1f03aa5c7e2d41"
 	for _, c := range []struct {
 		name string
-		late func(now int64, c *core.Core)
+		late func(now int64, c *core.Core, n *Nodes)
 		sent bool
 	}{
-		{"nothing against it", func(int64, *core.Core) {}, true},
-		{"its node drains", func(now int64, c *core.Core) {
+		{"nothing against it", func(int64, *core.Core, *Nodes) {}, true},
+		{"its owner left", func(_ int64, _ *core.Core, n *Nodes) { n.GiveUp("a", tag, false) }, false},
+		{"its node drains", func(now int64, c *core.Core, _ *Nodes) {
 			c.List(now, ravenhitch.List{Entries: []ravenhitch.Entry{{Machine: "a", State: ravenhitch.Draining}}})
 		}, false},
-		{"its node left the list", func(now int64, c *core.Core) { c.List(now, ravenhitch.List{Kind: ravenhitch.ListFull}) }, false},
+		{"its node left the list", func(now int64, c *core.Core, _ *Nodes) {
+			c.List(now, ravenhitch.List{Kind: ravenhitch.ListFull})
+		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -395,7 +398,7 @@
 			}
 			n.Offer("a", core.Offer{Tag: s.Tag, Class: s.Class, Key: s.Key, WaitUs: s.WaitUs})
 			nc := n.links["a"].conns[0]
-			c.late(l.Now(), owed)
+			c.late(l.Now(), owed, n)
 			if err := l.Run(func(int64) { // until the connection is up and what came of that is told
 				if n.Gather(); nc.wasUp {
 					l.Stop()
