Ask the command channel anew where it answers twice or behind a 1xx in one piece

Cause: by reading. Channel.Data took one answer a call, and what had come in the same piece waited for more bytes: a 200 behind a 100 was acted on only at the silence limit, 2.8 s later; a second answer would have been taken for the answer to the next call, and all that follows one answer late.

Change: answers of 1xx are passed over in the same call; bytes behind the answer end the connection, and the cursor goes on.

TestChannelBreaksOff fails without either, and without the guard against a lower cursor.

--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -168,15 +168,20 @@
 	ch.startIn(againAfter)
 }
 
-// Data implements loop.Handler.
+// Data implements loop.Handler. One answer is owed at a time. What comes behind it was not
+// asked for: taken as the next one, it would put all that follow one answer late.
 func (ch *Channel) Data(_ *loop.Conn, b []byte) (int, error) {
 	r, used, err := parseResponse(b)
+	for err == nil && used > 0 && r.status >= 100 && r.status < 200 {
+		var more int
+		r, more, err = parseResponse(b[used:])
+		if used += more; more == 0 {
+			return used, err
+		}
+	}
 	if err != nil || used == 0 {
 		return 0, err
 	}
-	if r.status >= 100 && r.status < 200 {
-		return used, nil
-	}
 	if r.status != 200 {
 		return used, fmt.Errorf("%w: the command channel answered %s", ErrMessage, strconv.Itoa(r.status))
 	}
@@ -190,7 +195,10 @@
 	ch.limit.Stop()
 	ch.told = true
 	ch.Apply(u, false)
-	if !r.keep {
+	if used < len(b) {
+		ch.log.Warn("the command channel told what it was not asked", "cursor", ch.cursor)
+	}
+	if !r.keep || used < len(b) {
 		ch.startIn(0)
 		return used, nil
 	}
--- a/internal/platform/jsonl_test.go
+++ b/internal/platform/jsonl_test.go
@@ -235,7 +235,8 @@
 }
 
 // A command channel that breaks off in the middle of an event, or of the answer's
-// head, is asked again for the same event, which is applied once.
+// head, is asked again for the same event, which is applied once. One that answers twice is
+// asked anew, and one that counts from lower on tells nothing.
 func TestChannelBreaksOff(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -243,7 +244,8 @@
 	}
 	defer ln.Close()
 	l, n, c := newNodes(t)
-	ch := NewChannel(l, c, n, ln.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
+	var text bytes.Buffer
+	ch := NewChannel(l, c, n, ln.Addr().String(), 1_000_000, slog.New(slog.NewTextHandler(&text, nil)))
 	ch.cursor = 6
 	ch.Start()
 	done := make(chan struct{})
@@ -257,8 +259,16 @@
 	body := `{"cursor":7,"cmds":[{"cursor":7,"nodes":{"complete":false,"members":[{"id":"s-1","host_port":"127.0.0.1:9",` +
 		`"locality":"h","flavor":"std","cell":1,"phase":"draining","size":1,"up_since_ms":0,"spare":[1,1]}]}}]}`
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	for _, x := range []struct{ asked, answer string }{{"resume=6&", whole[:len(whole)-40]}, {"resume=6&", whole[:12]},
-		{"resume=6&", strings.Replace(whole, `"members"`, `"members`, 1)}, {"resume=6&", whole}, {"resume=7&", ""}} {
+	low := "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"cursor\":5,\"cmds\":[]} "
+	next := strings.ReplaceAll(whole, `"cursor":7`, `"cursor":8`)
+	for _, x := range []struct {
+		asked, answer string
+		open          bool // it does not close behind that
+	}{{"resume=6&", whole[:len(whole)-40], false}, {"resume=6&", whole[:12], false},
+		{"resume=6&", strings.Replace(whole, `"members"`, `"members`, 1), false},
+		{"resume=6&", "HTTP/1.1 100 Continue\r\n\r\n" + whole, false}, {"resume=7&", low, false},
+		{"resume=7&", next + next, true}, {"resume=8&", "", false}} {
+		ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
 		c, err := ln.Accept()
 		if err != nil {
 			t.Fatal(err)
@@ -275,13 +285,18 @@
 			}
 		}
 		io.WriteString(c, x.answer)
-		c.Close()
+		if !x.open {
+			c.Close()
+		}
 	}
 	l.Post(l.Stop)
 	<-done
 	if !c.Listed("s-1") {
 		t.Error("the event was not applied")
 	}
+	if strings.Contains(text.String(), "is silent") { // it was waited for in vain
+		t.Error(text.String())
+	}
 }
 
 // A line of 16 KiB passes, a longer one is told before it is whole, and no
