Pass on a yes and an end in one, and count a turn's length before a window's end

Core.NodeEnded took it for a reset, sent keyed tasks again up to the cap and failed those that must not start twice. Ruled out: repeats by clients (no tag of another request shares the ending in the trace).

Change: the answer and the end are both told to the owner. Keyed repeats keep the longest recent turn before the window's end.

TestOverBeforeItsYes, TestLateCopyOfARefusal, TestKeyedRepeats fail without each.

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -170,6 +170,47 @@
 	}
 }
 
+// A task may be over before its minion was to say yes: the minion says both in one, and so
+// the owner is told both, of whatever class, and nothing is sent again.
+func TestOverBeforeItsYes(t *testing.T) {
+	w := newWorld(t, "a", "b")
+	o := w.owner(t)
+	for i, class := range []string{"guide-web", "archive-cut"} {
+		task := "brief-" + class
+		standin.Send(o, standin.SetUp(standin.Tag(i+1), class, task, 5000))
+		l := standin.Wait(t, "the answer", o.Lines)
+		if l.Verb != "STARTED" || l.Tag != standin.Tag(i+1) || !strings.HasSuffix(*l.Blob, " held about "+task) {
+			t.Fatalf("%s got %v", task, l)
+		}
+		if l := standin.Wait(t, "the end", o.Lines); l.Verb != "FINISH" || l.Tag != standin.Tag(i+1) || l.Cause() != 16 {
+			t.Errorf("%s got %v", task, l)
+		}
+		if n := w.minions[0].Counted(task) + w.minions[1].Counted(task); n != 1 {
+			t.Errorf("%s was offered %d times", task, n)
+		}
+	}
+	if n := w.c.Standing(); n != 0 {
+		t.Errorf("%d stand", n)
+	}
+}
+
+// A copy of a refusal, which some minions send late and on any connection, ends no task
+// that was started since.
+func TestLateCopyOfARefusal(t *testing.T) {
+	w := newWorld(t, "a")
+	o := w.owner(t)
+	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" {
+		t.Fatalf("got %v", l)
+	}
+	for _, rc := range []int{34, 102, 16} {
+		w.minions[0].End(standin.Tag(1), rc)
+	}
+	if l := standin.Wait(t, "the end", o.Lines); l.Tag != standin.Tag(1) || l.Cause() != 16 {
+		t.Errorf("got %v", l)
+	}
+}
+
 // A set-up whose owner has closed before it is read goes nowhere.
 func TestLeftBeforeItWasRead(t *testing.T) {
 	w := newWorld(t, "a")
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -466,6 +466,12 @@
 				t.Errorf("%s to %s past the window: %q", c.class, node, why)
 			}
 		}
+		b.Took(200 * ms) // what is placed leaves at the end of a turn
+		for passed, open := range map[int64]bool{499 * ms: true, 500 * ms: b.effects[c.class] != ravenhitch.Keyed} {
+			if why := b.MayLeave(at+passed, "a", "t1"); (why == "") != (open && c.leaves["a"]) {
+				t.Errorf("%s after %d ms, under long turns: %q", c.class, passed/ms, why)
+			}
+		}
 		r := b.reqs["t1"]
 		if b.finish(r); b.final["t1"] != c.answer {
 			t.Errorf("%s: answered %v", c.class, b.final["t1"])
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -208,7 +208,7 @@
 	case r.effect == ravenhitch.Keyed && r.mayRun:
 		class, e := &c.set.Classes[r.class], c.roster.last[node]
 		switch {
-		case c.now >= r.ran.at+class.WindowUs:
+		case c.now+int64(c.spread.turn) >= r.ran.at+class.WindowUs: // it leaves at the end of the turn
 			return "it may have started, and nodes no longer know its repeats"
 		case class.Group == ravenhitch.ScopeZone && e.Zone != r.ran.zone,
 			class.Group == ravenhitch.ScopeCell && e.Cell != r.ran.cell:
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -585,13 +585,17 @@
 			st = ravenhitch.Reset
 		}
 		// An offer is answered on its own connection. Anything else is the end of a task
-		// that stands, or a copy or a foreign answer, which must end no attempt.
+		// that stands, or a copy or a foreign answer, which must end no attempt. That it never
+		// ran is no end of a task that stands: it is a copy of what was said to an attempt before.
 		delete(nc.k.unheard, m.Tag)
 		if s := nc.open[m.Tag]; s != nil && s.end > 0 {
 			nc.settled(s)
+			if st == ravenhitch.OK && m.HasBlob { // the yes and the end in one: it was over before it was to say yes
+				n.core.NodeStarted(now, id, m.Tag, m.Blob)
+			}
 			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
 			nc.k.prune()
-		} else if n.core.Stands(m.Tag) || n.core.Leaves(m.Tag) {
+		} else if st != ravenhitch.Full && st != ravenhitch.Moot && (n.core.Stands(m.Tag) || n.core.Leaves(m.Tag)) {
 			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
 		}
 	case verbNotice:
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -18,7 +18,8 @@
 // from the task's name: ok-, full-, error-, silent- or reset-; missed- is silent at the
 // first attempt of a request and ok at those after, at whatever minion; what it spoils at the
 // first set-up of a task it does well at the next: half-, bare-, twice- (a copy and a
-// foreign answer). With one, the Machine answers.
+// foreign answer). What is brief- is over before it is to say yes, and says both in one.
+// With one, the Machine answers.
 type Minion struct {
 	Name   string
 	Kind   string    // of its machine, as the list has it; "std" unless it is set
@@ -243,6 +244,11 @@
 		good := l
 		good.Verb = "STARTED"
 		Send(c, good)
+	case "brief":
+		m.Attempts.ended(m.Name, l.Tag)
+		over, blob := Finish("FINISH", l.Tag, 16), m.Name+" held "+*l.Blob
+		over.Blob = &blob
+		Send(c, over)
 	case "full":
 		m.Attempts.ended(m.Name, l.Tag)
 		full := Finish("FINISH", l.Tag, 34)
