Look once a task for the machines that hold its program, where a class states a spread

The first site's classes state no spread. Ruled out: a lost word of the minion, the list.

Change: Placer.holders keeps the machines that hold a program for one step (event or action).

--- a/placer.go
+++ b/placer.go
@@ -978,7 +978,7 @@
 		return true
 	}
 	n := 1
-	for _, o := range p.order {
+	for _, o := range p.holders(t.Program) {
 		if h := o.homes[t.Program]; h != nil && (samePlace(m, o, c.Apart) || !o.known && o != m) {
 			n += h.held
 		}
--- a/placer_test.go
+++ b/placer_test.go
@@ -370,11 +370,33 @@
 		if n != c.want {
 			t.Errorf("%s: %d sent, want %d", c.class, n, c.want)
 		}
+		b = newBed(t, testSettings(), 1, small("a", 0, 30), small("b", 0, 30), small("c", 1, 30))
+		var all []Event
+		for i := range 6 {
+			all = append(all, b.request(fmt.Sprint(i), c.class, 1, 1))
+		}
+		if n := len(of[Place](b.at(ms, all...))); n != c.want {
+			t.Errorf("%s: %d of a turn sent, want %d", c.class, n, c.want)
+		}
 	}
 	b := newBed(t, testSettings(), 1, small("a", 0, 30))
 	b.at(ms, Existing{Task: b.request("e", "apartMachine", 1, 1).Task, Machine: "a"})
 	b.placed(b.at(ms, b.request("1", "apartMachine", 1, 1)), "")
 	b.placed(b.at(ms, Done{Ticket: "e", Machine: "a", Status: OK, Closed: true}), "a")
+	b.at(ms, Done{Ticket: "1", Machine: "a", Status: OK, Closed: true})
+	b.placed(b.at(ms, Existing{Task: b.request("f", "apartMachine", 1, 1).Task, Machine: "a"}, b.request("2", "apartMachine", 1, 1)), "")
+	// What is known of one program is not taken for another, nor for what holds later.
+	b = newBed(t, testSettings(), 1, small("a", 0, 10))
+	b.at(ms, Existing{Task: b.request("e", "apartMachine", 1, 1).Task, Machine: "a"})
+	other := b.request("1", "apartMachine", 40, 40)
+	other.Program = 8
+	b.placed(b.at(ms, other, b.request("2", "apartMachine", 1, 1)), "")
+	b = newBed(t, testSettings(), 1, small("a", 0, -16))
+	b.placed(b.at(ms, b.request("1", "apartMachine", 1, 1)), "")
+	full := List{Kind: ListDelta, Entries: []Entry{small("a", 0, -16)}}
+	b.placed(b.at(ms, full), "")
+	free := List{Kind: ListDelta, Entries: []Entry{small("a", 0, 30)}}
+	b.placed(b.at(ms, Existing{Task: b.request("e", "apartMachine", 1, 1).Task, Machine: "a"}, free), "")
 }
 
 func TestHeldTaskGoesWhenRoomAppears(t *testing.T) {
@@ -1178,3 +1200,30 @@
 		}
 	}
 }
+
+// BenchmarkSpread is a turn in which tasks of a class that states a spread come to a large
+// fleet, while others wait for room.
+func BenchmarkSpread(b *testing.B) {
+	s := testSettings()
+	var entries []Entry
+	for i := range 400 {
+		e := small(fmt.Sprint("m", i), i/8, 30)
+		if i >= 200 {
+			e.SpareCores, e.SpareMem = -16, -32
+		}
+		entries = append(entries, e)
+	}
+	for b.Loop() {
+		p, err := New(s, 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Handle(1_000_000_000, []Event{List{Kind: ListCached, Entries: entries}})
+		var events []Event
+		for i := range 100 {
+			events = append(events, Request{Task{Ticket: fmt.Sprint(i), Class: "apartMachine", Cores: 1, Mem: 1,
+				DeadlineUs: 1_005_000_000, Program: uint64(i % 20)}})
+		}
+		p.Handle(1_000_001_000, events)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -120,6 +120,8 @@
 	roomPace float64              // at which room comes while tasks wait, or 0
 	stirred  bool                 // something happened that may let a held task go
 	wakeAt   int64
+	steps    int64 // events and actions so far
+	held     held
 
 	lagErr     [lagSteps]float64
 	lagSeen    float64
@@ -186,7 +188,31 @@
 	return errors.Join(errs...)
 }
 
-func (p *Placer) do(a Action) { p.out = append(p.out, a) }
+func (p *Placer) do(a Action) {
+	p.out = append(p.out, a)
+	p.steps++
+}
+
+// held is which machines hold tasks of a program, as of one step.
+type held struct {
+	program  uint64
+	step     int64
+	machines []*machine
+}
+
+// holders are the machines that hold tasks of a program. Where a class states a spread, each
+// machine is asked about for each task: to look at all others for that took whole turns.
+func (p *Placer) holders(program uint64) []*machine {
+	if p.held.program != program || p.held.step != p.steps {
+		p.held = held{program, p.steps, p.held.machines[:0]}
+		for _, m := range p.order {
+			if m.homes[program] != nil {
+				p.held.machines = append(p.held.machines, m)
+			}
+		}
+	}
+	return p.held.machines
+}
 
 // use corrects the sums of what own tasks asked and use.
 func (p *Placer) use(r int, asked float64, was *float64, now float64) {
@@ -487,6 +513,7 @@
 
 // event hands an event to what decides about it.
 func (p *Placer) event(e Event) {
+	p.steps++
 	switch e := e.(type) {
 	case List:
 		p.list(e)
