Test that nothing goes out for an owner that left, by each way and wherever its request waits

Twelve cases over loopback sockets: by word, close, reset and half a close; while the request waits for a node that takes offers, for a connection that comes up late, and to be read.

The give-up of what waits for its connection may go: MayLeave asks once more.

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -211,28 +211,75 @@
 	}
 }
 
-// A set-up whose owner has closed before it is read goes nowhere.
-func TestLeftBeforeItWasRead(t *testing.T) {
-	w := newWorld(t, "a")
-	w.until(t, "a connection to the minion", func() bool { n, _ := w.minions[0].Dials(); return n > 0 })
-	held, on := make(chan bool), make(chan bool)
-	w.l.Post(func() {
-		held <- true
-		<-on
-	})
-	<-held
-	o := w.owner(t)
-	standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
-	o.Close()
-	on <- true
-	next := w.owner(t)
-	standin.Send(next, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
-	if l := standin.Wait(t, "the offer", w.minions[0].Starts); l.Tag != standin.Tag(2) {
-		t.Errorf("%s was offered", l.Tag)
+// Nothing goes out for a request whose owner left while it waited, however it left and
+// whatever it waited for.
+func TestNothingGoesOutForWhoLeft(t *testing.T) {
+	ways := []struct {
+		name  string
+		leave func(o *standin.Owner)
+	}{
+		{"by word", func(o *standin.Owner) { standin.Send(o, standin.Finish("FINISH", standin.Tag(1), 16)) }},
+		{"by close", func(o *standin.Owner) { o.Close() }},
+		{"by reset", func(o *standin.Owner) { o.Conn.(*net.TCPConn).SetLinger(0); o.Close() }},
+		{"by half a close", func(o *standin.Owner) { o.Conn.(*net.TCPConn).CloseWrite() }},
 	}
-	standin.Wait(t, "the answer", next.Lines)
-	if n := w.c.Counts().Offers; n != 1 {
-		t.Errorf("%d offers", n)
+	for _, c := range []struct {
+		name string
+		// hold makes set-ups wait from now on, until what it returns is called.
+		hold func(t *testing.T, w *world) (free func())
+		read bool // meanwhile they are
+	}{
+		{"for a node that takes offers", func(t *testing.T, w *world) func() {
+			w.feed.Add(false, w.minions[0].Member("draining"))
+			w.feed.Heard(t)
+			return func() { w.feed.Add(false, w.minions[0].Member("up")) }
+		}, true},
+		{"for a connection that comes up late", func(t *testing.T, w *world) func() {
+			link := standin.NewLink(t, w.minions[0])
+			link.Cut(t)
+			w.feed.Add(false, w.minions[0].Member("up")) // it moves there
+			w.feed.Heard(t)
+			return func() { link.Heal(t) }
+		}, true},
+		{"to be read", func(t *testing.T, w *world) func() {
+			held, on := make(chan bool), make(chan bool)
+			w.l.Post(func() {
+				held <- true
+				<-on
+			})
+			<-held
+			return func() { on <- true }
+		}, false},
+	} {
+		for _, way := range ways {
+			t.Run(c.name+", "+way.name, func(t *testing.T) {
+				t.Parallel()
+				w := newWorldSet(t, settingsWith(t, change{"Limits.DialTimeoutUs", 10_000_000}), config.Edge{}, 1024,
+					slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+				w.until(t, "a connection to the minion", func() bool { n, _ := w.minions[0].Dials(); return n > 0 })
+				free := c.hold(t, w)
+				o := w.owner(t)
+				standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+				if c.read {
+					w.until(t, "the set-up", func() bool { return w.c.Open() == 1 })
+				}
+				if way.leave(o); c.read {
+					w.until(t, "it left", func() bool { return w.c.Open() == 0 })
+				}
+				free()
+				next := w.owner(t)
+				standin.Send(next, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 5000))
+				if l := standin.Wait(t, "the offer", w.minions[0].Starts); l.Tag != standin.Tag(2) {
+					t.Errorf("%s was offered", l.Tag)
+				}
+				if l := standin.Wait(t, "the answer", next.Lines); l.Verb != "STARTED" {
+					t.Errorf("got %v", l)
+				}
+				if n := len(w.minions[0].Starts); n > 0 {
+					t.Errorf("%d offers more", n)
+				}
+			})
+		}
 	}
 }
 
