Leave who reads its answers slowly its place as long as who writes slowly

Cause: by reading. At the limit of connections Front.room closed one with nothing open and 0.1 or 1 s quiet, though an answer for it still waited here: closed so, the answer is lost.

TestSlowReaderKeepsItsPlace fails without it.

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -308,6 +309,36 @@
 	return o
 }
 
+// Who has not read its answer yet does not lose its connection to one that waits for a place.
+func TestSlowReaderKeepsItsPlace(t *testing.T) {
+	w := newWorldLimited(t, 64, "a") // 24 owners
+	slow := slowReader(t, w)
+	standin.Send(slow, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+	w.until(t, "a task", func() bool { return w.c.Standing() == 1 })
+	since := int64(0)
+	w.on(t, func() { since = w.l.Now() })
+	for i := range 23 {
+		standin.Send(w.owner(t), standin.SetUp(standin.Tag(10+i), "archive-cut", fmt.Sprint("silent-", i), 60_000))
+	}
+	w.until(t, "all are busy", func() bool { return w.c.Open() == 23 })
+	late := w.owner(t)
+	standin.Send(late, standin.SetUp(standin.Tag(2), "guide-web", "ok-2", 9000))
+	w.until(t, "it waits, for longer than a quiet connection is kept", func() bool {
+		return w.l.Queued() && w.l.Now() > since+1_200_000
+	})
+	slow.SetReadDeadline(time.Now().Add(standin.Patience))
+	r, read := bufio.NewScanner(slow), false
+	for !read && r.Scan() {
+		read = strings.Contains(r.Text(), "STARTED")
+	}
+	if !read {
+		t.Errorf("its answer never came: %v", r.Err())
+	}
+	if l := standin.Wait(t, "the late one's answer", late.Lines); l.Tag != standin.Tag(2) {
+		t.Errorf("got %v", l)
+	}
+}
+
 // At the last call the program does not end in the turn in which it answers what is open:
 // who reads slowly has a moment for that.
 func TestAnsweredAtTheLastCall(t *testing.T) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -226,9 +226,13 @@
 	return 0
 }
 
-// restLeast is how long it must have been quiet to be closed for another.
+// restLeast is how long it must have been quiet to be closed for another. Who has not read
+// all its answers has as long for that as for writing a message.
 func (o *owner) restLeast() int64 {
-	if o.bound {
+	switch {
+	case o.c.Unsent() > 0:
+		return hushMost
+	case o.bound:
 		return idleLeast
 	}
 	return hushLeast
