Test ends told twice, serving without discovery, owners that come again, and that nothing stays

Need: rows of the table of endings without a test of their own. No fault was found by these.

TestToldToEndTwice (SIGTERM twice with SIGHUP between: safe refused, unsafe out failed, unsafe never sent refused, each once), TestServesWithoutDiscovery (refused, silent, never up; 200 tasks of a start at once), TestNothingStays (nine ways, 200 requests each; the core's tables are empty), TestInvariants with keys that come again. Taken out one by one, a test fails: the key, the time and the count in forget, the doubt in Refuse, the limit of a silent channel. None fails without the flag that makes a second SIGTERM do nothing: it changes no answer.

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -10,7 +10,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -339,6 +342,126 @@
 	}
 }
 
+// Told to end again and again, and to read its configuration in the same instant, the
+// program answers what is open once, by what may have become of it.
+func TestToldToEndTwice(t *testing.T) {
+	w := newWorldSet(t, settingsWith(t, change{"RequestClasses.0.DeadlineUs", 500_000}, change{"RequestClasses.1.DeadlineUs", 500_000}),
+		config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
+	o := w.owner(t)
+	for i, class := range []string{"guide-web", "archive-cut"} {
+		standin.Send(o, standin.SetUp(standin.Tag(i+1), class, fmt.Sprint("silent-", i), 60_000))
+		standin.Wait(t, "the offer", w.minions[0].Starts)
+	}
+	w.feed.Add(false, w.minions[0].Member("draining"))
+	w.feed.Heard(t)
+	for i, class := range []string{"guide-web", "archive-cut"} { // these never leave
+		standin.Send(o, standin.SetUp(standin.Tag(i+3), class, fmt.Sprint("ok-", i), 60_000))
+	}
+	w.until(t, "all are open", func() bool { return w.c.Open() == 4 })
+	next := standin.NewFeed(t)
+	next.Take(w.feed)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(configText(next)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.Stop()
+	w.Reload(path)
+	w.Stop()
+	got := map[string]int{}
+	for range 4 {
+		l := standin.Wait(t, "an answer", o.Lines)
+		if got[l.Tag] != 0 || l.Verb != "FINISH" {
+			t.Errorf("got %v", l)
+		}
+		got[l.Tag] = l.Cause()
+	}
+	want := map[string]int{standin.Tag(1): 34, standin.Tag(2): 47, standin.Tag(3): 34, standin.Tag(4): 34}
+	if !maps.Equal(got, want) {
+		t.Errorf("answered %v, expected %v", got, want)
+	}
+	if err := standin.Wait(t, "the end", w.over); err != nil {
+		t.Error(err)
+	}
+	for l := range o.Lines { // closed
+		t.Errorf("a second word: %v", l)
+	}
+}
+
+// The program serves by what it was started with while its command channel refuses, is
+// silent, or can't be reached, and asks again.
+func TestServesWithoutDiscovery(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		channel func(t *testing.T) (addr string, again <-chan net.Conn)
+	}{
+		{"it refuses", func(t *testing.T) (string, <-chan net.Conn) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ln.Close()
+			return ln.Addr().String(), nil
+		}},
+		{"it is silent", func(t *testing.T) (string, <-chan net.Conn) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { ln.Close() })
+			came := make(chan net.Conn, 100)
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					came <- c
+				}
+			}()
+			return ln.Addr().String(), came
+		}},
+		{"connections to it never come up", func(t *testing.T) (string, <-chan net.Conn) {
+			link := standin.NewLink(t, standin.NewMinion(t, "nobody"))
+			link.Cut(t)
+			return link.Addr(), nil
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			addr, again := c.channel(t)
+			m := standin.NewMinion(t, "a")
+			f := standin.NewFeed(t)
+			f.Add(true, m.Member("up"))
+			cfg, err := config.Parse([]byte(strings.Replace(configText(f), f.Srv.Listener.Addr().String(), addr, 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p, err := start(cfg, config.Edge{}, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := make(chan error, 1)
+			go func() { done <- p.Run() }()
+			o, held := standin.NewOwner(t, p.addr), standin.NewOwner(t, p.addr)
+			for i := range 200 { // of a start, all at once
+				standin.Send(held, running(standin.Tag(100+i), "a"))
+			}
+			asked(t, o)
+			standin.Send(o, standin.SetUp(standin.Tag(1), "guide-web", "ok-1", 5000))
+			if l := standin.Wait(t, "the answer", o.Lines); l.Verb != "STARTED" {
+				t.Errorf("got %v", l)
+			}
+			for range 2 {
+				if again != nil {
+					defer standin.Wait(t, "it is asked", again).Close()
+				}
+			}
+			p.l.Post(p.l.Stop)
+			standin.Wait(t, "the end", done)
+		})
+	}
+}
+
 // At the last call the program does not end in the turn in which it answers what is open:
 // who reads slowly has a moment for that.
 func TestAnsweredAtTheLastCall(t *testing.T) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -221,7 +221,9 @@
 				tag := fmt.Sprintf("%016x", len(tags)+1)
 				tags = append(tags, tag)
 				class := rapid.SampledFrom([]string{"web", "cut"}).Draw(t, "class")
-				if err := b.submit(tag, class, "k"+tag, rapid.Int64Range(100, 8000).Draw(t, "wait")); err != nil {
+				// Owners come again with a new tag while the first waits, is out or stands.
+				key := rapid.SampledFrom([]string{"k", "l", "k" + tag}).Draw(t, "key")
+				if err := b.submit(tag, class, key, rapid.Int64Range(100, 8000).Draw(t, "wait")); err != nil {
 					t.Fatalf("%v", err)
 				}
 			case 3:
@@ -478,3 +480,53 @@
 		}
 	}
 }
+
+// Of what has ended, in whatever way, nothing is kept.
+func TestNothingStays(t *testing.T) {
+	ends := map[string]func(b *bench, tag string){
+		"withdrawn":           func(b *bench, tag string) { b.Withdraw(b.now, b, tag) },
+		"refused by its node": func(b *bench, tag string) { b.ended(tag, ravenhitch.Full); b.Withdraw(b.now, b, tag) },
+		"an error":            func(b *bench, tag string) { b.ended(tag, ravenhitch.Failed); b.Withdraw(b.now, b, tag) },
+		"out of time":         func(b *bench, _ string) { b.pass(3000 * ms) },
+		"out of time and not proved": func(b *bench, tag string) {
+			b.doubt = true
+			b.pass(3000 * ms)
+			b.proved(tag)
+			b.doubt = false
+		},
+		"stood and ended": func(b *bench, tag string) { b.started(tag); b.ended(tag, ravenhitch.OK); delete(b.stands, tag) },
+		"released": func(b *bench, tag string) {
+			b.started(tag)
+			b.Withdraw(b.now, b, tag)
+			b.pass(1000 * ms)
+		},
+		"its node died":            func(b *bench, tag string) { b.started(tag); b.NodeLost(b.now, b.stands[tag]) },
+		"its connection is closed": func(b *bench, tag string) { b.Refuse(b.now, b, tag) },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.list(ravenhitch.ListFull, ravenhitch.Ready, "a", "b")
+			for i := range 200 {
+				tag := fmt.Sprintf("%016x", i+1)
+				b.submit(tag, []string{"web", "cut"}[i%2], "k"+tag, 2000)
+				b.pass(10 * ms)
+				if b.out[tag] == "" {
+					t.Fatalf("%s was not offered; offers %v", tag, b.offers)
+				}
+				end(b, tag)
+				b.pass(10 * ms)
+				clear(b.out)
+			}
+			c := b.Core
+			if len(c.due) > 0 {
+				t.Errorf("%d times to come", len(c.due))
+			}
+			b.pass(20_000 * ms)
+			if n := len(c.reqs) + len(c.keys) + len(c.alias) + len(c.past) + len(c.due) + c.waits; n > 0 || len(c.bells) > 1 {
+				t.Errorf("%d requests, %d keys, %d aliases, %d last words, %d times, %d wait, %d bells", len(c.reqs), len(c.keys),
+					len(c.alias), len(c.past), len(c.due), c.waits, len(c.bells))
+			}
+		})
+	}
+}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -45,6 +45,9 @@
 	return l
 }
 
+// Addr is where it listens.
+func (l *Link) Addr() string { return l.ln.Addr().String() }
+
 func (l *Link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
