Give the end, the front and the minions' links the field's names (no change of behaviour)

heir: successor; last call: drain timeout; ear: a connection for late ends; ...Most, ...Least in these files: max..., min....

--- a/cmd/ravenhitch/desk.go
+++ b/cmd/ravenhitch/desk.go
@@ -96,11 +96,11 @@
 			tick.Stop()
 			return
 		case <-p.look:
-			heir := s.claimed()
-			p.l.Post(func() { p.heir = p.heir || heir; p.leave() })
+			successor := s.claimed()
+			p.l.Post(func() { p.successor = p.successor || successor; p.leave() })
 		case <-tick.C:
 			if s.claimed() {
-				p.l.Post(func() { p.heir = true })
+				p.l.Post(func() { p.successor = true })
 			}
 			if outs, err := s.read(); err != nil {
 				p.log.Error("minions out by hand can't be read; what was read last holds", "err", err)
--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -462,9 +462,9 @@
 	}
 }
 
-// At the last call the program does not end in the turn in which it answers what is open:
+// At the drain timeout the program does not end in the turn in which it answers what is open:
 // who reads slowly has a moment for that.
-func TestAnsweredAtTheLastCall(t *testing.T) {
+func TestAnsweredAtTheDrainTimeout(t *testing.T) {
 	w := newWorldSet(t, settingsWith(t, change{"RequestClasses.0.DeadlineUs", 500_000}, change{"RequestClasses.1.DeadlineUs", 500_000}),
 		config.Edge{}, 1024, slog.New(slog.DiscardHandler), func(*standin.Minion) {}, "a")
 	o := slowReader(t, w)
@@ -599,7 +599,7 @@
 			w := newWorld(t, "a")
 			give := c.owe(t, w)
 			began := int64(0)
-			w.on(t, func() { w.inherited, w.heir, began = successor, successor, w.l.Now() })
+			w.on(t, func() { w.inherited, w.successor, began = successor, successor, w.l.Now() })
 			w.Stop()
 			for limit, age := time.Now().Add(standin.Patience), int64(0); age < stillComing+100_000; {
 				select {
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -35,11 +35,11 @@
 	// stillComing is how long after SIGTERM requests keep coming.
 	stillComing = 800_000
 	// The kill comes no sooner after SIGTERM than the longest deadline, counted as
-	// deadlineMost where it is longer, and killSlack; what is still open is answered
+	// maxDeadline where it is longer, and killSlack; what is still open is answered
 	// quitEarly before it.
 	// Where the platform holds the owners' socket, another process may serve beside this
 	// one, and the kill comes no sooner than deadlineBeside and killSlack.
-	deadlineMost   = 3_000_000
+	maxDeadline    = 3_000_000
 	deadlineBeside = 5_000_000
 	killSlack      = 700_000
 	quitEarly      = 300_000
@@ -48,10 +48,10 @@
 	// spareSockets are descriptors that are no sockets of the loop: standard
 	// streams, epoll, eventfd, and what the runtime opens for itself.
 	spareSockets = 32
-	// unreadLeast is what any connection may leave unread: some messages of full size.
-	unreadLeast = 64 << 10
-	// lookMost is how long an end waits for a look at the files, which may be on a slow disk.
-	lookMost = 100_000
+	// minUnread is what any connection may leave unread: some messages of full size.
+	minUnread = 64 << 10
+	// maxLook is how long an end waits for a look at the files, which may be on a slow disk.
+	maxLook = 100_000
 	// exportersWait is how long the last figures may take at the end.
 	exportersWait = 200 * time.Millisecond
 	// socketsDefault holds where the configuration names no limit.
@@ -137,20 +137,20 @@
 	// tickets is the file of the keys of return tickets, "" where none are given
 	tickets string
 
-	front     *platform.Front
-	channel   *platform.Channel
-	peers     *peer.Peers // nil where no others are known
-	exporters []*metrics.Exporter
-	lastCall  int64 // how long after Stop what is still open is answered
-	leaving   bool  // told to end
-	inherited bool  // the platform holds the owners' socket
-	heir      bool  // a process that goes on serves it already
-	// look asks for a look at the files for an heir, nil where nobody keeps files.
+	front        *platform.Front
+	channel      *platform.Channel
+	peers        *peer.Peers // nil where no others are known
+	exporters    []*metrics.Exporter
+	drainTimeout int64 // how long after Stop what is still open is answered
+	leaving      bool  // told to end
+	inherited    bool  // the platform holds the owners' socket
+	successor    bool  // a process that goes on serves it already
+	// look asks for a look at the files for a successor, nil where nobody keeps files.
 	look chan struct{}
-	// lastBeside is how long after Stop what is open is answered where there is an heir.
-	lastBeside int64
-	maddr      string // where operators' staff call, "" where nobody does
-	over       chan struct{}
+	// drainTimeoutBeside is how long after Stop what is open is answered where there is a successor.
+	drainTimeoutBeside int64
+	maddr              string // where operators' staff call, "" where nobody does
+	over               chan struct{}
 }
 
 // start joins the parts and begins to listen; Run serves.
@@ -177,7 +177,7 @@
 	}(p.l)
 	if cfg.MemoryMB > 0 {
 		// What all connections together leave unread fits into a quarter of the memory.
-		p.l.Unread(max(unreadLeast, int(cfg.MemoryMB<<20)/4/budget))
+		p.l.Unread(max(minUnread, int(cfg.MemoryMB<<20)/4/budget))
 	}
 	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, cfg.Settings.Tests, log)
 	p.nodes.Trace(edge.Trace)
@@ -195,9 +195,9 @@
 	}
 	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, log)
 	p.front.Trace(edge.Trace)
-	p.lastCall = lastCall(cfg.Settings, deadlineMost)
+	p.drainTimeout = drainTimeout(cfg.Settings, maxDeadline)
 	p.inherited = cfg.Inherited > 0
-	p.lastBeside = lastCall(cfg.Settings, deadlineBeside)
+	p.drainTimeoutBeside = drainTimeout(cfg.Settings, deadlineBeside)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, log)
 	p.channel.Apply(cfg.Known, true)
 	p.channel.Start()
@@ -297,8 +297,8 @@
 	return ticket.ParseKeys(path, b)
 }
 
-// lastCall is how long after SIGTERM requests may stay open.
-func lastCall(s ravenhitch.Settings, most int64) (us int64) {
+// drainTimeout is how long after SIGTERM requests may stay open.
+func drainTimeout(s ravenhitch.Settings, most int64) (us int64) {
 	for _, c := range s.Classes {
 		us = max(us, c.DeadlineUs)
 	}
@@ -333,12 +333,12 @@
 // goroutine, and more than once.
 func (p *program) Stop() {
 	p.l.Post(func() {
-		if p.inherited && !p.heir {
-			// An heir may have begun since the files were last looked at: whoever came
+		if p.inherited && !p.successor {
+			// A successor may have begun since the files were last looked at: whoever came
 			// meanwhile would be taken here and sent away again.
 			select {
 			case p.look <- struct{}{}:
-				p.l.After(lookMost, p.leave)
+				p.l.After(maxLook, p.leave)
 				return
 			default:
 			}
@@ -359,7 +359,7 @@
 	if p.peers != nil {
 		p.peers.Leave()
 	}
-	p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "heir", p.heir)
+	p.log.Info("told to end", "open", p.c.Open(), "standing", p.c.Standing(), "successor", p.successor)
 	if p.inherited {
 		p.handOver(p.l.Now())
 		return
@@ -400,8 +400,8 @@
 // waits in the system's queue may have sent a request, which an end would lose.
 func (p *program) end(since int64) {
 	switch age := p.l.Now() - since; {
-	case age >= p.lastCall:
-		p.quit(since, p.lastCall)
+	case age >= p.drainTimeout:
+		p.quit(since, p.drainTimeout)
 	case age >= stillComing && !p.owes() && !p.l.Queued():
 		p.l.Stop()
 	default:
@@ -415,7 +415,7 @@
 	return p.c.Open() > 0 || p.front.Owes() || p.nodes.Owes()
 }
 
-// quit answers what is open at the last call, and ends once the owners have taken that, or
+// quit answers what is open at the drain timeout, and ends once the owners have taken that, or
 // shortly before the kill.
 func (p *program) quit(since, last int64) {
 	p.c.Quit(p.l.Now())
@@ -426,23 +426,23 @@
 	p.l.After(10_000, func() { p.quit(since, last) })
 }
 
-// handOver ends a process whose owners' socket the platform holds. Where an heir serves
+// handOver ends a process whose owners' socket the platform holds. Where a successor serves
 // it, whoever comes goes there at once, and what is open here is answered. Where none
 // does, callers come on as before and would wait in the system's queue for the next
 // process, which starts only once this one was killed: so it serves until shortly
 // before that, and leaves to the queue only whom it could not answer any more.
 func (p *program) handOver(since int64) {
-	age, last := p.l.Now()-since, p.lastCall
-	if p.heir {
-		last = p.lastBeside
+	age, last := p.l.Now()-since, p.drainTimeout
+	if p.successor {
+		last = p.drainTimeoutBeside
 	}
-	if p.heir || age >= last-stillComing/2 {
+	if p.successor || age >= last-stillComing/2 {
 		p.l.Unlisten(p.addr)
 	}
 	switch {
 	case age >= last:
 		p.quit(since, last)
-	case p.heir && age >= stillComing && !p.owes():
+	case p.successor && age >= stillComing && !p.owes():
 		p.l.Stop()
 	default:
 		p.l.After(10_000, func() { p.handOver(since) })
--- a/cmd/ravenhitch/platform_test.go
+++ b/cmd/ravenhitch/platform_test.go
@@ -480,11 +480,11 @@
 
 // What is open at SIGTERM is answered before the kill comes, which hangs on the
 // longest deadline.
-func TestLastCall(t *testing.T) {
+func TestDrainTimeout(t *testing.T) {
 	for longest, want := range map[int64]int64{1_000_000: 1_400_000, 10_000_000: 3_400_000, 100_000: stillComing} {
 		s := ravenhitch.Settings{Classes: []ravenhitch.Class{{DeadlineUs: 50_000}, {DeadlineUs: longest}}}
-		if got := lastCall(s, deadlineMost); got != want {
-			t.Errorf("longest deadline %d: last call after %d, expected %d", longest, got, want)
+		if got := drainTimeout(s, maxDeadline); got != want {
+			t.Errorf("longest deadline %d: drain timeout after %d, expected %d", longest, got, want)
 		}
 	}
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -45,30 +45,30 @@
 }
 
 const (
-	// idleLeast is how long a connection must have been quiet to be closed for
-	// another: a set-up may be on its way on one that was just used. hushLeast is the
+	// minIdle is how long a connection must have been quiet to be closed for
+	// another: a set-up may be on its way on one that was just used. minHush is the
 	// same for one that never had a task: whoever connects for one asks at once, and
 	// what crosses the close within 50 ms is sent again.
-	idleLeast = 1_000_000
-	hushLeast = 100_000
-	// hushMost is how long a connection may take for its first message, and for the
+	minIdle = 1_000_000
+	minHush = 100_000
+	// maxHush is how long a connection may take for its first message, and for the
 	// rest of a message that has begun: owners may take 2 s to write one, and who never
 	// does is owed a close within 3 s.
-	hushMost   = 2_400_000
+	maxHush    = 2_400_000
 	sweepEvery = 250_000
-	// unsentMost bounds the releases that wait for an owner to connect, and unsentHold how
+	// maxUnsent bounds the releases that wait for an owner to connect, and unsentHold how
 	// long they wait for one that is known to be an owner while others are connected: half of
 	// the second in which an owner is to be told.
-	unsentMost = 10_000
+	maxUnsent  = 10_000
 	unsentHold = 500_000
-	// A connection on which no task was bound yet may have openMost set-ups open,
-	// more are refused at once, and faultsMost messages that can't be used. It guards
+	// A connection on which no task was bound yet may have maxOpen set-ups open,
+	// more are refused at once, and maxFaults messages that can't be used. It guards
 	// the turn of the usual owners, whose connections carry tasks that stand.
-	openMost   = 32
-	faultsMost = 64
-	// leftMost is what a longer wait, in milliseconds, is read as: it fits the core's
+	maxOpen   = 32
+	maxFaults = 64
+	// maxLeft is what a longer wait, in milliseconds, is read as: it fits the core's
 	// clock and is still no wait that the core takes.
-	leftMost = 1e12
+	maxLeft = 1e12
 )
 
 // NewFront returns a front that holds at most so many connections, each for
@@ -121,7 +121,7 @@
 	var best *owner
 	now := f.l.Now()
 	for o := range f.conns {
-		if len(o.open) > 0 || now-o.usedAt < o.restLeast() {
+		if len(o.open) > 0 || now-o.usedAt < o.minRest() {
 			continue
 		}
 		if best == nil || o.use() < best.use() || o.use() == best.use() && o.usedAt < best.usedAt {
@@ -141,7 +141,7 @@
 	now := f.l.Now()
 	for o := range f.conns {
 		switch {
-		case !o.spoke && now-o.usedAt > hushMost, o.halfAt > 0 && now-o.halfAt > hushMost:
+		case !o.spoke && now-o.usedAt > maxHush, o.halfAt > 0 && now-o.halfAt > maxHush:
 			f.log.Warn("an owner's message never came whole", "spoke", o.spoke)
 			o.end()
 		case len(o.open) == 0 && f.idleUs > 0 && now-o.usedAt > f.idleUs:
@@ -226,16 +226,16 @@
 	return 0
 }
 
-// restLeast is how long it must have been quiet to be closed for another. Who has not read
+// minRest is how long it must have been quiet to be closed for another. Who has not read
 // all its answers has as long for that as for writing a message.
-func (o *owner) restLeast() int64 {
+func (o *owner) minRest() int64 {
 	switch {
 	case o.c.Unsent() > 0:
-		return hushMost
+		return maxHush
 	case o.bound:
-		return idleLeast
+		return minIdle
 	}
-	return hushLeast
+	return minHush
 }
 
 func (o *owner) Opened(c *loop.Conn) {
@@ -328,10 +328,10 @@
 		return o.faulty()
 	case err != nil:
 		return o.fault(m.Tag, err)
-	case s.At == "" && !o.bound && len(o.open) >= openMost:
+	case s.At == "" && !o.bound && len(o.open) >= maxOpen:
 		wait := int64(0)
 		if o.f.core.Advises() {
-			wait = idleLeast
+			wait = minIdle
 		}
 		o.Answer(core.Answer{Kind: core.Refused, Tag: m.Tag, WaitUs: wait})
 		o.f.log.Warn("a new connection has too many set-ups open", "open", len(o.open))
@@ -361,7 +361,7 @@
 
 // faulty counts what can't be used, up to the end of the connection.
 func (o *owner) faulty() error {
-	if o.faults++; o.faults >= faultsMost && !o.bound {
+	if o.faults++; o.faults >= maxFaults && !o.bound {
 		return fmt.Errorf("%w: the %dth that can't be used", ErrMessage, o.faults)
 	}
 	return nil
@@ -396,7 +396,7 @@
 		if err != nil || hint != hint {
 			return bad("hint")
 		}
-		s.HintUs = int64(min(max(hint, -1), leftMost) * 1000)
+		s.HintUs = int64(min(max(hint, -1), maxLeft) * 1000)
 	}
 	if text := m.Opt("retry"); text != "" {
 		tries, err := strconv.ParseUint(text, 10, 32)
@@ -410,7 +410,7 @@
 		if err != nil || left != left {
 			return bad("wait")
 		}
-		s.WaitUs = int64(min(max(left, 0), leftMost) * 1000)
+		s.WaitUs = int64(min(max(left, 0), maxLeft) * 1000)
 	}
 	if field, _ := s.Fault(); field != "" {
 		return bad(field)
@@ -465,7 +465,7 @@
 		return
 	}
 	o.f.tracer.Step("end finds no owner", a.Tag, o.f.l.Now())
-	if len(o.f.unsent) < unsentMost {
+	if len(o.f.unsent) < maxUnsent {
 		o.f.unsent = append(o.f.unsent, unsent{o.f.l.Now(), Append(nil, &m)})
 	}
 }
--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -21,11 +21,11 @@
 	"ravenhitch/internal/loop"
 )
 
-// sureMost is how long nothing at all may come in on a connection after a give-up was
+// maxProof is how long nothing at all may come in on a connection after a give-up was
 // written there, the test's answer included: a test waits behind what the minion is at,
 // and it may take three of its slowest looks at an offer, of 34 ms each. Where other
 // messages come, a test may take as long as a connection may take to come up.
-const sureMost = 100_000
+const maxProof = 100_000
 
 // A close is on its way to the minion for as long as a message is, and nothing tells
 // that it has come. So what a close gives up is over once a message there and back
@@ -33,8 +33,8 @@
 // at the least, 2 ms at the least (twice the way between halls, 0.78 ms), and not
 // longer than the slack that the protocol puts on every limit.
 const (
-	crossLeast = 2_000
-	crossMost  = 50_000
+	minCross = 2_000
+	maxCross = 50_000
 )
 
 var errSilent = errors.New("nothing came in since an offer that was given up")
@@ -102,14 +102,14 @@
 	now := nc.k.n.l.Now()
 	nc.ends.test, nc.ends.at, nc.ends.tags, nc.ends.next = fmt.Sprintf("%016x", now), now, tags, nil
 	nc.send(&Message{Verb: verbEcho, Tag: nc.ends.test, HasRC: true})
-	nc.ends.timer = nc.k.n.l.After(sureMost, nc.unproved)
+	nc.ends.timer = nc.k.n.l.After(maxProof, nc.unproved)
 }
 
 // unproved is the time at which the test should have been answered.
 func (nc *nodeConn) unproved() {
 	e, k, now := &nc.ends, nc.k, nc.k.n.l.Now()
 	if nc.readAt > e.at && now < e.at+k.n.dialUs {
-		e.timer = k.n.l.After(sureMost, nc.unproved)
+		e.timer = k.n.l.After(maxProof, nc.unproved)
 		return
 	}
 	k.n.log.Warn("a give-up was not read in time", "node", k.id, "quiet_us", now-nc.readAt)
@@ -136,7 +136,7 @@
 
 // crossed calls f once a close that is written now has reached the minion.
 func (k *link) crossed(f func()) {
-	k.n.l.After(min(max(k.wayUs, crossLeast), crossMost), f)
+	k.n.l.After(min(max(k.wayUs, minCross), maxCross), f)
 }
 
 // fade tells the core that an offer was reset with its connection, once the minion
@@ -176,11 +176,11 @@
 	nc.lost(err)
 }
 
-// unheardMost bounds the releases of one minion that wait for its word, and
+// maxUnheard bounds the releases of one minion that wait for its word, and
 // unheardFor how long they do: the longest cut that connections outlive.
 const (
-	unheardMost = 1024
-	unheardFor  = 60_000_000
+	maxUnheard = 1024
+	unheardFor = 60_000_000
 )
 
 // Release implements core.Nodes. The minion's word that a task has ended is what shows
@@ -193,7 +193,7 @@
 	if k.unheard == nil {
 		k.unheard = map[string]int64{}
 	}
-	if len(k.unheard) < unheardMost {
+	if len(k.unheard) < maxUnheard {
 		k.unheard[tag] = n.l.Now()
 	}
 	if nc := k.usable(); nc != nil && nc.c.Up() { // else it goes out once one is
--- a/internal/platform/ear.go
+++ b/internal/platform/late_ends.go
@@ -4,7 +4,7 @@
 // the end of a task on the connection of its set-up while it believes in that, and on
 // the next one opened. Where such a connection was closed here, or died, and the minion
 // does not know, the end comes only on one that is opened after it. Where the minion hears
-// of a close, that holds for the ends that crossed it, and one ear is enough. An ear carries no
+// of a close, that holds for the ends that crossed it, and one more connection is enough. It carries no
 // offer, so that its own end loses nothing, and must never take one.
 
 import (
@@ -13,43 +13,43 @@
 )
 
 const (
-	// earEvery is how often such a connection is opened: an end not told for 8 s is lost.
-	earEvery = quietMost
-	// earLife is how long one is kept for what the minion has to say.
-	earLife = 500_000
-	// earRoom is how many descriptors must be free: offers and owners come first.
-	earRoom = 32
+	// lateEndsEvery is how often such a connection is opened: an end not told for 8 s is lost.
+	lateEndsEvery = maxQuiet
+	// lateEndsLife is how long one is kept for what the minion has to say.
+	lateEndsLife = 500_000
+	// lateEndsRoom is how many descriptors must be free: offers and owners come first.
+	lateEndsRoom = 32
 )
 
-type ear struct{ nodeConn }
+type lateEnds struct{ nodeConn }
 
-// listen opens an ear where tasks stand whose set-up came by a connection that is
+// listen opens such a connection where tasks stand whose set-up came by a connection that is
 // gone, unless another connection was opened in time.
 func (k *link) listen(held core.Holding, now int64) {
 	unknown, crossed := held.Since < k.goneAt, held.Since < k.prunedAt && k.openedAt <= k.prunedAt
-	if held.Tasks == 0 || !unknown && !crossed || now-max(k.openedAt, k.prunedAt) < earEvery || k.n.l.Free() < earRoom {
+	if held.Tasks == 0 || !unknown && !crossed || now-max(k.openedAt, k.prunedAt) < lateEndsEvery || k.n.l.Free() < lateEndsRoom {
 		return
 	}
 	if n := len(k.conns); n == 0 || !k.conns[n-1].c.Up() {
 		return // the next one that comes up is such a connection
 	}
 	k.openedAt = now // also where it fails: not in every sweep
-	e := &ear{nodeConn{k: k, probes: map[string]int64{}}}
+	e := &lateEnds{nodeConn{k: k, probes: map[string]int64{}}}
 	if c, err := k.n.l.Dial(k.addr, k.n.dialUs, e); err == nil {
 		e.c = c
 	}
 }
 
 // Opened implements loop.Handler.
-func (e *ear) Opened(c *loop.Conn) { e.k.n.l.After(earLife, c.Close) }
+func (e *lateEnds) Opened(c *loop.Conn) { e.k.n.l.After(lateEndsLife, c.Close) }
 
-// Data implements loop.Handler. Half a message is not waited for: an ear ends soon, and
+// Data implements loop.Handler. Half a message is not waited for: it ends soon, and
 // that it does says nothing of the minion.
-func (e *ear) Data(c *loop.Conn, b []byte) (int, error) {
+func (e *lateEnds) Data(c *loop.Conn, b []byte) (int, error) {
 	used, err := e.nodeConn.Data(c, b)
 	e.half.Stop()
 	return used, err
 }
 
 // Closed implements loop.Handler. That it did not come up says nothing: offers tell.
-func (e *ear) Closed(*loop.Conn, error) {}
+func (e *lateEnds) Closed(*loop.Conn, error) {}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -27,31 +27,31 @@
 const (
 	// staleAfter is how long an offer may lie on a connection on which nothing came
 	// in before new offers go out on a new one.
-	staleAfter  = 400_000
-	redialLeast = 100_000
-	redialMost  = 2_000_000
+	staleAfter = 400_000
+	minRedial  = 100_000
+	maxRedial  = 2_000_000
 	// partAfter is how long the connections to a minion that left the list are kept
 	// for what it still has to say: one that vanished would keep them for ever.
 	partAfter = 10_000_000
-	// quietMost is how long nothing may come in on a connection to a minion where
+	// maxQuiet is how long nothing may come in on a connection to a minion where
 	// tasks stand before another is opened: the old one may be dead without a sign, and
 	// the ends of tasks come on the next. An end not told for 8 s is lost.
-	quietMost  = 3_000_000
+	maxQuiet   = 3_000_000
 	sweepNodes = 500_000
 	// deadAfter is how long a minion may refuse connections and say nothing on those that
 	// it has before it counts as dead: well over the pause of a busy one, and with
-	// quietMost and two sweeps before it still under the 8 s in which an end is to be told.
+	// maxQuiet and two sweeps before it still under the 8 s in which an end is to be told.
 	deadAfter = 2_000_000
 	// deadUntested is the same where the deployment allows no tests.
 	deadUntested = 4_000_000
-	// strayMost bounds the connections to one minion.
-	strayMost = 4
-	// halfMost is how long half a message may wait for its rest. Minions write theirs
+	// maxStray bounds the connections to one minion.
+	maxStray = 4
+	// maxHalf is how long half a message may wait for its rest. Minions write theirs
 	// whole: what stops short spoils all that would come behind it.
-	halfMost = 250_000
-	// triesMost is how often an offer is put on a connection that breaks before the
+	maxHalf = 250_000
+	// maxTries is how often an offer is put on a connection that breaks before the
 	// offer has left; after that the minion counts as not reached.
-	triesMost = 3
+	maxTries = 3
 )
 
 var errHalf = fmt.Errorf("%w: it stops short", ErrMessage)
@@ -93,10 +93,10 @@
 	for _, id := range slices.Sorted(maps.Keys(n.links)) {
 		k := n.links[id]
 		maps.DeleteFunc(k.unheard, func(_ string, at int64) bool { return now-at > unheardFor })
-		if len(k.conns) == 0 || len(k.conns) >= strayMost || held[id].Tasks == 0 {
+		if len(k.conns) == 0 || len(k.conns) >= maxStray || held[id].Tasks == 0 {
 			continue
 		}
-		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > quietMost {
+		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > maxQuiet {
 			k.dial()
 		}
 		k.listen(held[id], now)
@@ -139,7 +139,7 @@
 	wayUs     int64            // the least that a connection took to come up, 0 while none has
 	unheard   map[string]int64 // releases of tasks that stand, and when they were first written
 	goneAt    int64            // when a connection last ended that the minion may believe in
-	openedAt  int64            // when one last came up, or an ear was opened
+	openedAt  int64            // when one last came up, or one for late ends was opened
 	prunedAt  int64            // when one was last closed here that the minion believed in till then
 }
 
@@ -337,7 +337,7 @@
 }
 
 func (k *link) dial() *nodeConn {
-	if len(k.conns) >= strayMost {
+	if len(k.conns) >= maxStray {
 		k.conns[0].end(loop.ErrBudget)
 	}
 	nc := &nodeConn{k: k, open: map[string]*sent{}, probes: map[string]int64{}, dialAt: k.n.l.Now()}
@@ -368,7 +368,7 @@
 	if !k.listed || k.redial != nil && k.redial.Pending() {
 		return
 	}
-	k.wait = min(redialMost, max(redialLeast, k.wait*2))
+	k.wait = min(maxRedial, max(minRedial, k.wait*2))
 	k.redial = k.n.l.After(k.wait, func() {
 		if k.listed && len(k.conns) == 0 {
 			k.dial()
@@ -446,7 +446,7 @@
 			k.n.trace("connection lost under an offer", tag, "node", k.id, "err", err)
 			k.fade(tag)
 			continue
-		case k.listed && s.tries < triesMost && broke(err):
+		case k.listed && s.tries < maxTries && broke(err):
 			k.n.trace("offer again on a new connection", tag, "node", k.id, "err", err)
 			again = append(again, s)
 			continue
@@ -552,7 +552,7 @@
 		nc.half.Stop()
 	}
 	if used < len(b) && err == nil && !nc.half.Pending() {
-		nc.half = nc.k.n.l.After(halfMost, func() {
+		nc.half = nc.k.n.l.After(maxHalf, func() {
 			nc.c.Close()
 			nc.Closed(nc.c, errHalf)
 		})
