Count a released task for its place until its end is known

That machine was cut off from about 4.3 s on; its owner had released the task, and cutWait (internal/core/turns.go, expire) told the module after 0.7 s that it was over, although the cut-off machine runs it on. Ruled out: the memo of Placer.holders (counts were read from the machines), a restart of the machine, a lost OPEN.

Change: internal/core/silent.go. Such a task is set aside: its owner may use its names again, and for the module it ends with the node's word, the node's death, its leaving the list, or 60 s, as long as releases go out again.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,7 +23,7 @@
 
 const (
 	// cutWait is how long a node has to tell the end of a task that was released or
-	// moved before it is taken as told.
+	// moved before its owner may use the names of it again.
 	cutWait = 700_000
 	// orphanAfter is how long a task may stand on a node that left the list: long enough for
 	// the node's own word on it, which comes by another way. The list may tell of a node that
@@ -107,6 +107,7 @@
 	reqs    map[string]*request
 	keys    map[string]*request // the latest live request of each task
 	alias   map[string]*request // further tags of resumed requests
+	silent  map[string]*request // released, and of their end nothing is known
 	past    map[string]Answer   // final words on set-ups that may be repeated
 	pastAge []string
 	due     dues
@@ -138,7 +139,7 @@
 	}
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
-		past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
+		silent: map[string]*request{}, past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
 		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
 		tracer: Tracer{Log: log}, ends: map[string]Ends{},
 		roster: roster{last: map[string]ravenhitch.Entry{}, out: map[string]bool{}, back: map[string]bool{}}}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -36,7 +37,8 @@
 			{Name: "cut", Effect: ravenhitch.Unsafe, Worth: 5, Kind: -1, Calm: 0.8, Fade: 0.2, AimUs: 6000 * ms, DeadlineUs: 9000 * ms},
 			{Name: "all", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeAll, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2},
 			{Name: "zone", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeZone, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2},
-			{Name: "cell", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeCell, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2}},
+			{Name: "cell", Effect: ravenhitch.Keyed, Group: ravenhitch.ScopeCell, WindowUs: 700 * ms, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2},
+			{Name: "apart", Effect: ravenhitch.Safe, Apart: ravenhitch.ScopeMachine, Most: 1, Worth: 1, Kind: -1, Calm: 0.8, Fade: 0.2}},
 	}
 }
 
@@ -367,6 +369,60 @@
 	}
 }
 
+// A task that was released takes its place for the module until its end is known: a node
+// that is cut off runs it on. Its owner may use its names again before.
+func TestReleasedAtASilentNode(t *testing.T) {
+	for name, end := range map[string]func(b *bench){
+		"told":          func(b *bench) { b.NodeEnded(b.now, "a", "t1", ravenhitch.Cancelled, 0) },
+		"its node died": func(b *bench) { b.NodeLost(b.now, "a") },
+		"silent for long": func(b *bench) {
+			for range maxSilent / (100 * ms) {
+				if len(b.silent) > 0 {
+					b.pass(100 * ms)
+				}
+			}
+		},
+		"its node left and came back": func(b *bench) {
+			b.list(ravenhitch.ListDelta, ravenhitch.Gone, "a")
+			b.pass(1000 * ms)
+			b.list(ravenhitch.ListDelta, ravenhitch.Ready, "a")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.list(ravenhitch.ListFull, ravenhitch.Ready, "a")
+			submit := func(tag string) {
+				b.deadline[tag], b.class[tag] = b.now+90_000*ms, "apart"
+				s := Setup{Tag: tag, Class: "apart", Key: "k", Service: 7, WaitUs: 90_000 * ms, Cores: 2, Mem: 4, Resumes: true}
+				if err := b.Submit(b.now, b, s); err != nil {
+					t.Fatal(err)
+				}
+				b.pass(10 * ms)
+			}
+			submit("t1")
+			b.started("t1")
+			if b.Withdraw(b.now, nil, "t1") != WasStanding {
+				t.Fatal("it does not stand")
+			}
+			b.pass(2000 * ms)
+			submit("t2")
+			if b.pass(2000 * ms); len(b.offers) != 1 || !b.Leaves("t1") || b.Held()["a"].Tasks != 1 {
+				t.Fatalf("offers %v, held %v", b.offers, b.Held())
+			}
+			if err := b.submit("t1", "web", "k1", 1000); !errors.Is(err, ErrTag) {
+				t.Errorf("its tag again: %v", err)
+			}
+			if err := b.Submit(b.now, b, Setup{Tag: "t1", Class: "apart", Key: "k", At: "a"}); err != nil || b.Counts().Opened != 0 {
+				t.Errorf("handed in as running: %v, %d", err, b.Counts().Opened)
+			}
+			end(b)
+			if b.pass(100 * ms); fmt.Sprint(b.offers) != "[t1@a t2@a]" || b.Leaves("t1") || len(b.silent) > 0 {
+				t.Errorf("offers %v, %d set aside", b.offers, len(b.silent))
+			}
+		})
+	}
+}
+
 // A task found running needs no answer, and what its owner takes back is owed
 // none either.
 func TestFoundRunning(t *testing.T) {
@@ -499,6 +555,8 @@
 			b.started(tag)
 			b.Withdraw(b.now, b, tag)
 			b.pass(1000 * ms)
+			b.NodeEnded(b.now, b.stands[tag], tag, ravenhitch.Cancelled, 0)
+			delete(b.stands, tag)
 		},
 		"its node died":            func(b *bench, tag string) { b.started(tag); b.NodeLost(b.now, b.stands[tag]) },
 		"its connection is closed": func(b *bench, tag string) { b.Refuse(b.now, b, tag) },
@@ -523,7 +581,7 @@
 				t.Errorf("%d times to come", len(c.due))
 			}
 			b.pass(20_000 * ms)
-			if n := len(c.reqs) + len(c.keys) + len(c.alias) + len(c.past) + len(c.due) + c.waits; n > 0 || len(c.bells) > 1 {
+			if n := len(c.reqs) + len(c.keys) + len(c.alias) + len(c.past) + len(c.due) + len(c.silent) + c.waits; n > 0 || len(c.bells) > 1 {
 				t.Errorf("%d requests, %d keys, %d aliases, %d last words, %d times, %d wait, %d bells", len(c.reqs), len(c.keys),
 					len(c.alias), len(c.past), len(c.due), c.waits, len(c.bells))
 			}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -50,6 +50,10 @@
 func (c *Core) NodeEnded(now int64, node, tag string, st ravenhitch.Status, why ravenhitch.Why) {
 	c.now = now
 	r := c.reqs[tag]
+	if r := c.silent[tag]; r != nil && r.node == node {
+		c.heard(r, ravenhitch.Cancelled, why)
+		return
+	}
 	if r == nil || r.node != node {
 		return
 	}
@@ -175,15 +179,21 @@
 // Held is what stands at each node.
 func (c *Core) Held() map[string]Holding {
 	held := map[string]Holding{}
+	count := func(r *request) {
+		h, ok := held[r.node]
+		if h.Tasks++; !ok || r.sentAt < h.Since {
+			h.Since = r.sentAt
+		}
+		held[r.node] = h
+	}
 	for _, r := range c.reqs {
 		if r.state == standing || r.state == leaving {
-			h, ok := held[r.node]
-			if h.Tasks++; !ok || r.sentAt < h.Since {
-				h.Since = r.sentAt
-			}
-			held[r.node] = h
+			count(r)
 		}
 	}
+	for _, r := range c.silent {
+		count(r)
+	}
 	return held
 }
 
@@ -196,6 +206,11 @@
 			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
 		}
 	}
+	for _, r := range c.aside() {
+		if r.node == node {
+			c.heard(r, ravenhitch.Reset, ravenhitch.WhyUntold)
+		}
+	}
 }
 
 // List takes what the command channel told of the nodes.
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -65,6 +65,9 @@
 // Submit takes in a set-up.
 func (c *Core) Submit(now int64, o Owner, s Setup) error {
 	c.now = now
+	if s.At != "" && c.silent[s.Tag] != nil {
+		return nil
+	}
 	if s.At != "" && c.reqs[s.Tag] != nil {
 		c.reopen(c.reqs[s.Tag], s)
 		return nil
@@ -74,8 +77,8 @@
 			return err
 		}
 	}
-	if c.find(s.Tag) != nil {
-		// It can't be answered without a second answer to the first.
+	if c.find(s.Tag) != nil || c.silent[s.Tag] != nil {
+		// It can't be answered without a second answer to the first, or the module knows it.
 		return ErrTag
 	}
 	if r := c.keys[s.Key]; r != nil && r.Resumes != s.Resumes && s.At == "" {
@@ -218,7 +221,7 @@
 // end the node has not told.
 func (c *Core) Leaves(tag string) bool {
 	r := c.reqs[tag]
-	return r != nil && r.state == leaving
+	return r != nil && r.state == leaving || c.silent[tag] != nil
 }
 
 // Listed reports whether a node is on the list.
--- /dev/null
+++ b/internal/core/silent.go
@@ -0,0 +1,47 @@
+package core
+
+// This file owns released tasks of whose end their node has not told. Their owners are done
+// with them, but a node that is cut off runs them on: for the module they take room, and
+// count for the spread, until the end is known. It must never answer an owner.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"ravenhitch"
+)
+
+// maxSilent is how long the end of a released task may stay unknown: as long as releases
+// go out again.
+const maxSilent = 60_000_000
+
+// silence sets a released task aside, as its node says nothing. Its owner may use the
+// names of it again.
+func (c *Core) silence(r *request) {
+	c.forget(r)
+	r.lostAt = c.now
+	c.silent[r.Tag] = r
+}
+
+// heard ends a task that was set aside.
+func (c *Core) heard(r *request, st ravenhitch.Status, why ravenhitch.Why) {
+	delete(c.silent, r.Tag)
+	c.trace("a released task has ended", r, "status", st)
+	c.advisor.Ended(c.now, r.caller())
+	c.done(r, st, why, true)
+}
+
+// sweepSilent ends what nobody will tell of: the node has left the list, or was silent for long.
+func (c *Core) sweepSilent() {
+	for _, r := range c.aside() {
+		if !c.listed[r.node] || c.now-r.lostAt >= maxSilent {
+			c.heard(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
+		}
+	}
+}
+
+// aside lists what was set aside by tag, so that the same happenings give the same actions.
+func (c *Core) aside() []*request {
+	return slices.SortedFunc(maps.Values(c.silent), func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
+}
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -82,7 +82,7 @@
 		c.finish(r)
 	case leaving:
 		c.nodes.Release(r.node, r.Tag)
-		c.over(r, ravenhitch.Cancelled, ravenhitch.WhyUntold)
+		c.silence(r)
 	}
 }
 
@@ -98,6 +98,7 @@
 			delete(c.told, node)
 		}
 	}
+	c.sweepSilent()
 	for _, r := range c.sorted() {
 		if r.state != standing || c.listed[r.node] {
 			r.lostAt = 0
