Try another port for peers where the one given for connections is in use for datagrams

Cause: the checks failed once: TestRecordsAgain, 'datagrams at 127.0.0.1:38021: address already in use'. peer.New asked the system for any port for connections and took the same number for datagrams, which another process may hold.

Change: where any port will do, up to 16 are tried; a listener that is not used is given back.

TestPortsInUse: 500 ports held, 1,000 starts; it fails without the retry and without giving back.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 
 	"golang.org/x/sys/unix"
 
@@ -32,6 +33,8 @@
 	guestFor = 2_000_000
 	// guestsMost bounds the guests at a time.
 	guestsMost = 32
+	// maxPorts is how many ports are tried where any will do.
+	maxPorts = 16
 )
 
 // Counts are what passed between this orchestrator and the others.
@@ -62,13 +65,10 @@
 // New opens the sockets. The table begins to ask with the first turn.
 func New(l *loop.Loop, s Settings, log *slog.Logger) (*Peers, error) {
 	p := &Peers{l: l, s: s, log: log, warn: platform.NewLimited(log), life: rand.Uint64(), lanes: map[lane]*sender{}, carriers: map[lane]*guest{}, takes: map[Kind]func(string, []byte){}, room: func(string, Kind) {}}
-	addr, err := l.Listen(s.Listen, func() bool { return p.guests < guestsMost }, func() loop.Handler { return &guest{p: p} })
+	addr, err := p.listen()
 	if err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
-	if p.socket, err = l.Packets(addr, p.take); err != nil {
-		return nil, fmt.Errorf("peers: %w", err)
-	}
 	p.s.Listen = addr
 	p.table = membership.New(l.Now(), membership.Config{Self: membership.Rumour{Name: s.Name, Hall: s.Hall, Addr: addr, Life: p.life,
 		Incarnation: s.Incarnation}, Peers: s.Members, Seed: rand.Uint64()})
@@ -76,6 +76,25 @@
 	return p, nil
 }
 
+// listen takes connections and datagrams at one port. Where any port will do, the one that
+// the system gives for connections may be in use for datagrams: then another is asked for.
+func (p *Peers) listen() (addr string, err error) {
+	for range maxPorts {
+		addr, err = p.l.Listen(p.s.Listen, func() bool { return p.guests < guestsMost }, func() loop.Handler { return &guest{p: p} })
+		if err != nil {
+			return "", err
+		}
+		if p.socket, err = p.l.Packets(addr, p.take); err == nil {
+			return addr, nil
+		}
+		p.l.Unlisten(addr)
+		if !strings.HasSuffix(p.s.Listen, ":0") || !errors.Is(err, unix.EADDRINUSE) {
+			break
+		}
+	}
+	return "", err
+}
+
 // Addr is where others reach this one.
 func (p *Peers) Addr() string { return p.s.Listen }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -268,3 +269,45 @@
 		t.Error("a folder that is not there is taken")
 	}
 }
+
+// Where any port will do, one that is in use for datagrams is passed over; a port that is
+// named is not, and what was opened there is given back.
+func TestPortsInUse(t *testing.T) {
+	taken := map[string]bool{}
+	for range 500 {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		taken[c.LocalAddr().String()] = true
+	}
+	s := Settings{Listen: "127.0.0.1:0", Cluster: "dala", Name: "n1", Hall: "hall-a", Incarnation: 1}
+	for range 1000 { // one in fifty of these meets a port in use
+		l, err := loop.New(8)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := New(l, s, slog.New(slog.DiscardHandler))
+		if err != nil || taken[p.Addr()] {
+			t.Fatalf("%v", err)
+		}
+		l.Close()
+	}
+	l, err := loop.New(8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for s.Listen = range taken {
+		break
+	}
+	if _, err := New(l, s, slog.New(slog.DiscardHandler)); !errors.Is(err, unix.EADDRINUSE) {
+		t.Errorf("at a port in use: %v", err)
+	}
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		t.Fatalf("not given back: %v", err)
+	}
+	ln.Close()
+}
