Keep the port of a stand-in that refuses, so that no other test of the process gets it

Cause: TestOwedAtTheEnd/an_end_has_found_no_owner failed in 1 of 6 full runs, two at a time: 'the other side closed'. Alone it passed 200 of 200. A stand-in minion that refuses gave its port back, while its program goes on dialing it and tests each connection; the next test's front may be given that port, and an end that waits for an owner goes to whoever tests it. By reading: the crossing itself was not caught.

Change: standin.Refuse shuts the listener and keeps its port (Die, Deaf, Vanish, Shut, and the channel that refuses).

--- a/cmd/ravenhitch/endings_test.go
+++ b/cmd/ravenhitch/endings_test.go
@@ -399,7 +399,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			ln.Close()
+			t.Cleanup(func() { ln.Close() })
+			standin.Refuse(t, ln)
 			return ln.Addr().String(), nil
 		}},
 		{"it is silent", func(t *testing.T) (string, <-chan net.Conn) {
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -7,6 +7,8 @@
 	"net"
 	"strings"
 	"sync"
+
+	"golang.org/x/sys/unix"
 )
 
 // This file owns the stand-in minion's sockets and what it says by script.
@@ -32,6 +34,7 @@
 	// Attempts notes what is out here, where it is set before the first connection.
 	Attempts *Attempts
 
+	host   Host
 	ln     net.Listener
 	via    string              // where it is told to listen, "" where that is where it does
 	by     map[string]net.Conn // the connections of set-ups
@@ -55,7 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &Minion{Name: name, Kind: "std", ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
+	m := &Minion{Name: name, Kind: "std", host: t, ln: ln, mach: mach, Starts: make(chan Line, 1000), Ends: make(chan Line, 1000),
 		Cut: make(chan Line, cutMost), by: map[string]net.Conn{}, conns: map[net.Conn]bool{}, held: map[string]bool{}, count: map[string]int{}}
 	m.came = sync.NewCond(&m.mu)
 	go func() {
@@ -146,9 +149,24 @@
 	Send(c, Line{Verb: "STARTED", Tag: tag, Opts: map[string]string{}, Blob: &blob})
 }
 
+// Refuse makes a listener refuse connections from now on. Its port stays taken until it is
+// closed: given back, it could be another test's, to which whoever dials here would come.
+func Refuse(t Host, ln net.Listener) {
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { err = unix.Shutdown(int(fd), unix.SHUT_RD) }); err != nil {
+		t.Fatal(err)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Die closes it for good, with a reset for whoever is connected.
 func (m *Minion) Die() {
-	m.ln.Close()
+	Refuse(m.host, m.ln)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for c := range m.conns {
@@ -345,7 +363,7 @@
 }
 
 // Deaf refuses new connections; open ones stay.
-func (m *Minion) Deaf() { m.ln.Close() }
+func (m *Minion) Deaf() { Refuse(m.host, m.ln) }
 
 // Vanish lets it go without a word: new connections are refused, and those that are open
 // stay open and silent.
@@ -353,12 +371,12 @@
 	m.mu.Lock()
 	m.gone = true
 	m.mu.Unlock()
-	m.ln.Close()
+	Refuse(m.host, m.ln)
 }
 
 // Shut closes it for good as a process does that ends in good order.
 func (m *Minion) Shut() {
-	m.ln.Close()
+	Refuse(m.host, m.ln)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for c := range m.conns {
