--- a/internal/platform/giveup.go
+++ b/internal/platform/giveup.go
@@ -1,13 +1,13 @@
 package platform
 
-// This file owns how an attempt ends that a minion has not answered: what is written
-// or closed for it, and the proof that the minion is rid of it. It must never take a
+// This file owns how an attempt ends that a worker has not answered: what is written
+// or closed for it, and the proof that the worker is rid of it. It must never take a
 // give-up that was only written for one that was read, and never leave on the way what
-// could reach a minion after the attempt is over.
+// could reach a worker after the attempt is over.
 //
 // A give-up that is written may never arrive: the connection can be cut off since the
-// minion's last word. So a test is written behind it. The answer to that proves that
-// the minion has read the give-up; where it does not come, the connection is aborted,
+// worker's last word. So a test is written behind it. The answer to that proves that
+// the worker has read the give-up; where it does not come, the connection is aborted,
 // which gives up all that is open on it and takes back what still lies in it.
 
 import (
@@ -22,14 +22,14 @@
 )
 
 // maxProof is how long nothing at all may come in on a connection after a give-up was
-// written there, the test's answer included: a test waits behind what the minion is at,
+// written there, the test's answer included: a test waits behind what the worker is at,
 // and it may take three of its slowest looks at an offer, of 34 ms each. Where other
 // messages come, a test may take as long as a connection may take to come up.
 const maxProof = 100_000
 
-// A close is on its way to the minion for as long as a message is, and nothing tells
+// A close is on its way to the worker for as long as a message is, and nothing tells
 // that it has come. So what a close gives up is over once a message there and back
-// could have been on its way: as long as a connection to that minion took to come up
+// could have been on its way: as long as a connection to that worker took to come up
 // at the least, 2 ms at the least (twice the way between halls, 0.78 ms), and not
 // longer than the slack that the protocol puts on every limit.
 const (
@@ -83,7 +83,7 @@
 // giveUp writes a give-up, ahead of all that is written after it on any connection. Where
 // the system does not take it whole, the test behind it is not answered either. Where the
 // deployment allows no tests nothing proves it, and no attempt may follow it.
-func (nc *nodeConn) giveUp(tag string) {
+func (nc *workerConn) giveUp(tag string) {
 	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 	if !nc.k.n.tests {
 		nc.c.Push()
@@ -97,8 +97,8 @@
 	nc.c.Push()
 }
 
-// prove writes a test behind give-ups. One is out at a time: tests cost the minion work.
-func (nc *nodeConn) prove(tags []string) {
+// prove writes a test behind give-ups. One is out at a time: tests cost the worker work.
+func (nc *workerConn) prove(tags []string) {
 	now := nc.k.n.l.Now()
 	nc.ends.test, nc.ends.at, nc.ends.tags, nc.ends.next = fmt.Sprintf("%016x", now), now, tags, nil
 	nc.send(&Message{Verb: verbEcho, Tag: nc.ends.test, HasRC: true})
@@ -106,7 +106,7 @@
 }
 
 // unproved is the time at which the test should have been answered.
-func (nc *nodeConn) unproved() {
+func (nc *workerConn) unproved() {
 	e, k, now := &nc.ends, nc.k, nc.k.n.l.Now()
 	if nc.readAt > e.at && now < e.at+k.n.dialUs {
 		e.timer = k.n.l.After(maxProof, nc.unproved)
@@ -119,7 +119,7 @@
 }
 
 // proved takes the answer to the test: what was given up before it is over.
-func (nc *nodeConn) proved() {
+func (nc *workerConn) proved() {
 	at, tags, next := nc.ends.at, nc.ends.tags, nc.ends.next
 	nc.ends.timer.Stop()
 	nc.ends = endings{}
@@ -134,12 +134,12 @@
 	nc.k.prune()
 }
 
-// crossed calls f once a close that is written now has reached the minion.
+// crossed calls f once a close that is written now has reached the worker.
 func (k *link) crossed(f func()) {
 	k.n.l.After(min(max(k.wayUs, minCross), maxCross), f)
 }
 
-// fade tells the core that an offer was reset with its connection, once the minion
+// fade tells the core that an offer was reset with its connection, once the worker
 // knows of that too. Till then the attempt may be out.
 func (k *link) fade(tag string) {
 	if k.fading == nil {
@@ -153,7 +153,7 @@
 }
 
 // settle tells the core of the give-ups that the end of the connection has carried out.
-func (nc *nodeConn) settle() {
+func (nc *workerConn) settle() {
 	k := nc.k
 	nc.ends.timer.Stop()
 	for _, tag := range slices.Concat(nc.ends.tags, nc.ends.next) {
@@ -163,8 +163,8 @@
 }
 
 // end closes the connection from this side and tells what was open on it. Where a
-// set-up may lie in it still, what the minion has not taken is thrown away.
-func (nc *nodeConn) end(err error) {
+// set-up may lie in it still, what the worker has not taken is thrown away.
+func (nc *workerConn) end(err error) {
 	if errors.Is(err, errSilent) {
 		nc.k.failed = true
 	}
@@ -176,14 +176,14 @@
 	nc.lost(err)
 }
 
-// maxUnheard bounds the releases of one minion that wait for its word, and
+// maxUnheard bounds the releases of one worker that wait for its word, and
 // unheardFor how long they do: the longest cut that connections outlive.
 const (
 	maxUnheard = 1024
 	unheardFor = 60_000_000
 )
 
-// Release implements core.Nodes. The minion's word that a task has ended is what shows
+// Release implements core.Nodes. The worker's word that a task has ended is what shows
 // that a release was heard; till then it goes out again on each new connection.
 func (n *Nodes) Release(node, tag string) {
 	k := n.links[node]
@@ -236,12 +236,12 @@
 	}
 }
 
-func (nc *nodeConn) release(tag string) {
+func (nc *workerConn) release(tag string) {
 	nc.send(&Message{Verb: verbFinish, Tag: tag, RC: causeGivenUp, HasRC: true})
 }
 
 // releaseAgain writes on a new connection what was not heard on those before.
-func (nc *nodeConn) releaseAgain() {
+func (nc *workerConn) releaseAgain() {
 	for _, tag := range slices.Sorted(maps.Keys(nc.k.unheard)) {
 		nc.release(tag)
 	}
--- a/internal/platform/late_ends.go
+++ b/internal/platform/late_ends.go
@@ -1,9 +1,9 @@
 package platform
 
-// This file owns the connections that are opened only to hear of ends. A minion tells
+// This file owns the connections that are opened only to hear of ends. A worker tells
 // the end of a task on the connection of its set-up while it believes in that, and on
-// the next one opened. Where such a connection was closed here, or died, and the minion
-// does not know, the end comes only on one that is opened after it. Where the minion hears
+// the next one opened. Where such a connection was closed here, or died, and the worker
+// does not know, the end comes only on one that is opened after it. Where the worker hears
 // of a close, that holds for the ends that crossed it, and one more connection is enough. It carries no
 // offer, so that its own end loses nothing, and must never take one.
 
@@ -15,13 +15,13 @@
 const (
 	// lateEndsEvery is how often such a connection is opened: an end not told for 8 s is lost.
 	lateEndsEvery = maxQuiet
-	// lateEndsLife is how long one is kept for what the minion has to say.
+	// lateEndsLife is how long one is kept for what the worker has to say.
 	lateEndsLife = 500_000
-	// lateEndsRoom is how many descriptors must be free: offers and owners come first.
+	// lateEndsRoom is how many descriptors must be free: offers and clients come first.
 	lateEndsRoom = 32
 )
 
-type lateEnds struct{ nodeConn }
+type lateEnds struct{ workerConn }
 
 // listen opens such a connection where tasks stand whose set-up came by a connection that is
 // gone, unless another connection was opened in time.
@@ -34,7 +34,7 @@
 		return // the next one that comes up is such a connection
 	}
 	k.openedAt = now // also where it fails: not in every sweep
-	e := &lateEnds{nodeConn{k: k, probes: map[string]int64{}}}
+	e := &lateEnds{workerConn{k: k, probes: map[string]int64{}}}
 	if c, err := k.n.l.Dial(k.addr, k.n.dialUs, e); err == nil {
 		e.c = c
 	}
@@ -44,9 +44,9 @@
 func (e *lateEnds) Opened(c *loop.Conn) { e.k.n.l.After(lateEndsLife, c.Close) }
 
 // Data implements loop.Handler. Half a message is not waited for: it ends soon, and
-// that it does says nothing of the minion.
+// that it does says nothing of the worker.
 func (e *lateEnds) Data(c *loop.Conn, b []byte) (int, error) {
-	used, err := e.nodeConn.Data(c, b)
+	used, err := e.workerConn.Data(c, b)
 	e.half.Stop()
 	return used, err
 }
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -36,10 +36,10 @@
 	budget  int
 	most    int // clients' connections at most
 	clients func() int
-	workers int         // connections to workers
-	idle    []*nodeConn // to workers, that may be closed for another
-	idleAt  int64       // when those were last gathered
-	none    bool        // there were none
+	workers int           // connections to workers
+	idle    []*workerConn // to workers, that may be closed for another
+	idleAt  int64         // when those were last gathered
+	none    bool          // there were none
 }
 
 // connected counts connections to workers that were opened, or that ended.
@@ -117,12 +117,12 @@
 		}
 	}
 	s.none = len(s.idle) == 0
-	slices.SortFunc(s.idle, func(a, b *nodeConn) int {
+	slices.SortFunc(s.idle, func(a, b *workerConn) int {
 		return cmp.Or(cmp.Compare(a.usedAt, b.usedAt), cmp.Compare(a.k.id, b.k.id))
 	})
 }
 
 // isIdle reports whether nothing is open on the connection, nor waits for an answer.
-func (nc *nodeConn) isIdle() bool {
+func (nc *workerConn) isIdle() bool {
 	return nc.c.Up() && len(nc.open) == 0 && len(nc.probes) == 0 && !nc.ends.any() && len(nc.k.unheard) == 0 && len(nc.k.fading) == 0
 }
--- /dev/null
+++ b/internal/platform/worker_conn.go
@@ -0,0 +1,241 @@
+package platform
+
+// This file owns one connection to a worker and the offers open on it: when they leave, and
+// what becomes of them where the connection ends.
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+
+	"ravenhitch"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
+)
+
+// sent is an offer without an answer.
+type sent struct {
+	core.Offer
+	at    int64
+	until int64 // when the core gives it up
+	end   int64 // where its last byte lies in what was written, 0 while it waits
+	tries int
+}
+
+// settled takes an offer off its connection. It is the one place where that happens.
+func (nc *workerConn) settled(s *sent) {
+	delete(nc.open, s.Tag)
+	if s.left(nc.c) {
+		nc.k.n.tries++
+	}
+}
+
+// left reports whether the offer may have reached the worker whole.
+func (s *sent) left(c *loop.Conn) bool { return s.end > 0 && s.end <= c.Given() }
+
+// workerConn is one connection to a worker.
+type workerConn struct {
+	k      *link
+	c      *loop.Conn
+	open   map[string]*sent
+	early  [][]byte // messages that wait for the connection
+	readAt int64
+	half   *loop.Timer // for the rest of half a message
+	probes map[string]int64
+	ends   endings
+	wasUp  bool
+	dialAt int64
+	usedAt int64 // when it was last asked for, for an offer or a probe
+}
+
+// start writes an offer, if nothing stands against it by now: its connection may have come
+// up late, or another broken under it.
+func (nc *workerConn) start(s *sent) {
+	n, id := nc.k.n, nc.k.id
+	if age := n.l.Clock() - n.core.HeardAt(s.Tag, n.l.PostedAt()); age > maxUnheardClient {
+		n.trace("an offer waits until its client is heard", s.Tag, "node", id, "age_us", age)
+		n.held = append(n.held, held{nc, s})
+		n.l.Again()
+		return
+	}
+	if why := n.core.MayLeave(n.l.Now(), id, s.Tag); why != "" {
+		n.trace("an offer came too late to leave", s.Tag, "node", id, "why", why)
+		nc.settled(s)
+		n.later(func() { n.core.NodeEnded(n.l.Now(), id, s.Tag, ravenhitch.Moot, ravenhitch.WhyUntold) })
+		return
+	}
+	m := Message{Verb: verbStart, Tag: s.Tag, Blob: s.Description, HasBlob: true, Opts: []Field{{"class", s.Class},
+		{"key", s.Key}, {"left", strconv.FormatInt(max(1, (s.until-nc.k.n.l.Now())/1000), 10)}}}
+	if s.Idem != "" {
+		m.Opts = append(m.Opts, Field{"idem", s.Idem})
+	}
+	nc.c.Write(Append(nil, &m))
+	s.end = nc.c.Taken()
+}
+
+func (nc *workerConn) probed(tag string, st ravenhitch.Status, load string) {
+	at, ok := nc.probes[tag]
+	if !ok {
+		return
+	}
+	delete(nc.probes, tag)
+	now := nc.k.n.l.Now()
+	nc.k.n.core.NodeSampled(now, ravenhitch.Sampled{Machine: nc.k.id, Status: st, RTTUs: now - at, Load: report(load)})
+}
+
+// stale reports whether an offer lies on the connection
+// while nothing comes in: a worker that was cut off leaves its connections open and silent, and a new
+// one tells quickly, and with proof, that it is away.
+func (nc *workerConn) stale() bool {
+	if !nc.c.Up() {
+		return false
+	}
+	now := nc.k.n.l.Now()
+	for _, s := range nc.open {
+		if now-max(s.at, nc.readAt) > staleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// lost takes the connection off its link and settles what was open on it. What had
+// left this machine whole may have run. What had not never ran: where the
+// connection broke under it, it goes out on another at once, which is not the
+// worker's doing; where none came up, it ends.
+func (nc *workerConn) lost(err error) {
+	k := nc.k
+	nc.half.Stop()
+	nc.settle()
+	if now := k.n.l.Now(); nc.wasUp && (errors.Is(err, errSilent) || !broke(err) && now-nc.readAt > staleAfter) {
+		k.goneAt = now // else the worker knows of it
+	}
+	before := len(k.conns)
+	k.conns = slices.DeleteFunc(k.conns, func(o *workerConn) bool { return o == nc })
+	k.n.sharing.connected(len(k.conns) - before)
+	var again []*sent
+	for _, tag := range slices.Sorted(maps.Keys(nc.open)) {
+		s := nc.open[tag]
+		switch {
+		case s.left(nc.c):
+			k.n.trace("connection lost under an offer", tag, "node", k.id, "err", err)
+			k.fade(tag)
+			continue
+		case k.listed && s.tries < maxTries && broke(err):
+			k.n.trace("offer again on a new connection", tag, "node", k.id, "err", err)
+			again = append(again, s)
+			continue
+		}
+		k.n.trace("an offer never left", tag, "node", k.id, "err", err)
+		k.n.later(func() {
+			k.n.core.NodeEnded(k.n.l.Now(), k.id, tag, ravenhitch.ConnectFailed, ravenhitch.WhyUntold)
+		})
+	}
+	for _, s := range nc.open {
+		nc.settled(s)
+	}
+	for _, tag := range slices.Sorted(maps.Keys(nc.probes)) {
+		nc.probed(tag, ravenhitch.ConnectFailed, "")
+	}
+	for _, s := range again {
+		s.end = 0
+		k.n.offer(k.id, s)
+	}
+}
+
+// broke reports whether a connection ended in a way that says nothing of whether
+// another one would come up.
+func broke(err error) bool {
+	return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, loop.ErrEOF) ||
+		errors.Is(err, ErrMessage)
+}
+
+func (nc *workerConn) send(m *Message) {
+	if nc.c.Up() {
+		nc.c.Write(Append(nil, m))
+		return
+	}
+	nc.early = append(nc.early, Append(nil, m))
+}
+
+// Opened implements loop.Handler.
+func (nc *workerConn) Opened(*loop.Conn) {
+	nc.readAt = nc.k.n.l.Now()
+	nc.wasUp, nc.k.openedAt = true, nc.readAt
+	if way := nc.readAt - nc.dialAt; nc.k.wayUs == 0 || way < nc.k.wayUs {
+		nc.k.wayUs = way
+	}
+	nc.k.wait, nc.k.broke, nc.k.refusedAt = 0, false, 0
+	if nc.k.failed {
+		nc.k.failed = false
+		nc.k.n.core.NodeReached(nc.readAt, nc.k.id)
+	}
+	for _, b := range nc.early {
+		nc.c.Write(b)
+	}
+	nc.early = nil
+	nc.releaseAgain()
+	waiting := slices.SortedFunc(maps.Values(nc.open), func(a, b *sent) int { return cmp.Compare(a.at, b.at) })
+	for _, s := range waiting {
+		nc.start(s)
+	}
+	nc.k.prune()
+}
+
+// Closed implements loop.Handler.
+func (nc *workerConn) Closed(_ *loop.Conn, err error) {
+	k := nc.k
+	if !errors.Is(err, loop.ErrEOF) || len(nc.open) > 0 {
+		k.n.log.Warn("a connection to a minion ended", "node", k.id, "open", len(nc.open), "err", err)
+	}
+	nc.lost(err)
+	k.failed = k.failed || !errors.Is(err, loop.ErrEOF)
+	switch {
+	case errors.Is(err, unix.ECONNREFUSED):
+		k.refused()
+		k.later()
+	case errors.Is(err, loop.ErrTimeout):
+		k.later()
+	default:
+		// Only a reset is what a dying process leaves; a message that can't be read is not.
+		k.broke = k.broke || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
+		if len(k.conns) == 0 {
+			k.later()
+		}
+	}
+	if !k.listed && len(k.conns) == 0 {
+		delete(k.n.links, k.id)
+	}
+}
+
+// Data implements loop.Handler.
+func (nc *workerConn) Data(_ *loop.Conn, b []byte) (int, error) {
+	nc.readAt, nc.k.refusedAt = nc.k.n.l.Now(), 0
+	used, err := lines(b, func(line []byte) error {
+		m, err := Parse(line)
+		if err == nil && m.Verb == verbStarted && !m.HasBlob {
+			err = fmt.Errorf("%w: an answer without a description", ErrMessage)
+		}
+		if err != nil {
+			nc.k.n.log.Warn("malformed message from a minion", "node", nc.k.id, "err", err)
+			return err
+		}
+		nc.message(&m)
+		return nil
+	})
+	if used > 0 {
+		nc.half.Stop()
+	}
+	if used < len(b) && err == nil && !nc.half.Pending() {
+		nc.half = nc.k.n.l.After(maxHalf, func() {
+			nc.c.Close()
+			nc.Closed(nc.c, errHalf)
+		})
+	}
+	return used, err
+}
--- /dev/null
+++ b/internal/platform/worker_link.go
@@ -0,0 +1,156 @@
+package platform
+
+// This file owns the connections to one worker: at most one for new offers, older ones until
+// what is open on them has ended; when they are opened, given up and opened again, and what
+// refused connections prove of the worker.
+
+import (
+	"errors"
+	"fmt"
+
+	"golang.org/x/sys/unix"
+
+	"ravenhitch/internal/loop"
+)
+
+// link is one worker.
+type link struct {
+	n      *Nodes
+	id     string
+	addr   string
+	listed bool
+	conns  []*workerConn // the last one takes new offers
+	wait   int64         // before the next dial
+	redial *loop.Timer
+	broke  bool // a connection was reset; a refused one now proves the death
+	failed bool // a connection failed or fell silent, and none came up since
+
+	// refusedAt is since when connections were refused while nothing came, or 0.
+	refusedAt int64
+	fading    map[string]bool  // offers reset with their connection; the worker may not know yet
+	wayUs     int64            // the least that a connection took to come up, 0 while none has
+	unheard   map[string]int64 // releases of tasks that stand, and when they were first written
+	goneAt    int64            // when a connection last ended that the worker may believe in
+	openedAt  int64            // when one last came up, or one for late ends was opened
+	prunedAt  int64            // when one was last closed here that the worker believed in till then
+}
+
+// usable returns the connection for new messages, perhaps one that is not up
+// yet, or nil where none could even be started.
+func (k *link) usable() *workerConn {
+	if n := len(k.conns); n > 0 {
+		nc := k.conns[n-1]
+		if !nc.c.Gone() && !nc.stale() {
+			nc.usedAt = k.n.l.Now()
+			return nc
+		}
+	}
+	if !k.n.makeRoom() {
+		k.n.log.Warn("no room for a connection to a worker", "node", k.id)
+		return nil
+	}
+	return k.dial()
+}
+
+func (k *link) dial() *workerConn {
+	if len(k.conns) >= maxStray {
+		k.conns[0].end(loop.ErrBudget)
+	}
+	nc := &workerConn{k: k, open: map[string]*sent{}, probes: map[string]int64{}, dialAt: k.n.l.Now(), usedAt: k.n.l.Now()}
+	c, err := k.n.l.Dial(k.addr, k.n.dialUs, nc)
+	if err != nil {
+		k.n.log.Warn("no connection could be started", "node", k.id, "err", err)
+		if errors.Is(err, unix.ECONNREFUSED) {
+			k.refused()
+		}
+		k.later()
+		return nil
+	}
+	nc.c = c
+	k.conns = append(k.conns, nc)
+	k.n.sharing.connected(1)
+	return nc
+}
+
+// ensure keeps a connection to a listed worker, where there is room: tasks that stand
+// belong to no connection, and their end comes on any.
+func (k *link) ensure() {
+	if k.unconnected() && k.n.sharing.workersRoom() {
+		k.dial()
+	}
+}
+
+// require keeps a connection to a listed worker where tasks stand: others make room for it.
+func (k *link) require() {
+	if k.unconnected() && k.n.makeRoom() {
+		k.dial()
+	}
+}
+
+// unconnected reports whether a listed worker has no connection, and none is due.
+func (k *link) unconnected() bool {
+	return k.listed && len(k.conns) == 0 && (k.redial == nil || !k.redial.Pending())
+}
+
+// later dials again after a while that grows with each failure.
+func (k *link) later() {
+	if !k.listed || k.redial != nil && k.redial.Pending() {
+		return
+	}
+	k.wait = min(maxRedial, max(minRedial, k.wait*2))
+	k.redial = k.n.l.After(k.wait, func() {
+		if k.listed && len(k.conns) == 0 && k.n.sharing.workersRoom() {
+			k.dial()
+		}
+	})
+}
+
+// refused takes a refused connection: nobody listens there. After a reset that proves the
+// death of the process. Else it may have gone without a word, or may only take no further
+// connections: then it answers a test on those that it has. Where nothing comes while
+// connections are refused for deadAfter, it is dead, and nobody will tell what stood there.
+func (k *link) refused() {
+	now := k.n.l.Now()
+	if k.refusedAt == 0 {
+		k.refusedAt = now
+		for _, nc := range k.conns {
+			if nc.c.Up() && k.n.tests {
+				nc.send(&Message{Verb: verbEcho, Tag: fmt.Sprintf("%016x", now), HasRC: true})
+			}
+		}
+	}
+	wait := int64(deadAfter)
+	if !k.n.tests {
+		wait = deadUntested
+	}
+	if !k.broke && now-k.refusedAt < wait {
+		return
+	}
+	k.broke, k.refusedAt = false, 0
+	k.n.log.Warn("a minion has died", "node", k.id)
+	k.n.later(func() {
+		for len(k.conns) > 0 {
+			k.conns[0].end(errSilent)
+		}
+		k.later()
+		k.n.core.NodeLost(k.n.l.Now(), k.id)
+	})
+}
+
+// prune closes older connections with nothing on them.
+func (k *link) prune() {
+	for i := 0; i < len(k.conns)-1; {
+		if nc := k.conns[i]; len(nc.open) == 0 && k.conns[len(k.conns)-1].c.Up() {
+			k.prunedAt = k.n.l.Now()
+			nc.end(nil)
+			continue
+		}
+		i++
+	}
+}
+
+func (k *link) closeAll() {
+	for len(k.conns) > 0 {
+		k.conns[0].end(nil)
+	}
+}
