Divide the workers among the orchestrators that are there

Each of nine orchestrators followed and dialled all 4,000 workers.

Change: internal/shard (pure) puts workers into 256 shards by a hash of their names and gives each shard to one member by rendezvous weight, nobody over the even part. With `partition on` in [peers] an orchestrator places tasks in its shards alone, keeps connections to these workers and to others only while tasks stand there, and names its shards in its calls to the command channel. The source tells the room of these alone, and whether and where a worker is there of all. A lost shard is given up at once; a won one is used once its workers' room was told. For the module a worker of another placer is Foreign: listed, offered nothing, its tasks stay. Off in `run`, where nothing of it is started; a source that does not know the parameter tells all as before.

Tests: 60 drawn histories replayed with and without foreign machines give the same actions; a machine that changes hands; the quota's guess; the lag.

--- a/api.go
+++ b/api.go
@@ -114,6 +114,9 @@
 	Ready State = iota
 	Draining
 	Gone
+	// Foreign is listed and ready, and another placer's: it is offered no task here, and those
+	// that stand there stay.
+	Foreign
 )
 
 // Entry is one line of the machine list.
@@ -123,7 +126,7 @@
 	Cell                 int
 	StartUs              int64 // 0: long ago
 	State                State
-	SpareCores, SpareMem float64 // not asked for; below 0 where more was accepted
+	SpareCores, SpareMem float64 // not asked for; below 0 where more was accepted; may be old if Foreign
 	// Returned says that operators put it back by hand just now: it is to be used again.
 	Returned bool
 }
--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -148,6 +148,7 @@
 	front        *platform.Front
 	channel      *platform.Channel
 	peers        *peer.Peers // nil where no others are known
+	assignment   *assignment // of the workers to orchestrators, nil where this one uses all
 	exporters    []*metrics.Exporter
 	drainTimeout int64 // how long after Stop what is still open is answered
 	leaving      bool  // told to end
@@ -236,6 +237,9 @@
 	p.front.Trace(edge.Trace)
 	platform.Share(p.front, p.nodes, budget)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, p.log)
+	if edge.Peers.Partition {
+		p.assignment = newAssignment(p.l, p.channel, cfg.Name, edge.Peers)
+	}
 	p.channel.Apply(cfg.Known, true)
 	p.channel.Start()
 	if cfg.Manage != "" {
--- a/cmd/ravenhitch/peers.go
+++ b/cmd/ravenhitch/peers.go
@@ -30,6 +30,9 @@
 		return err
 	}
 	p.log.Info("peers", "what", "listens", "address", p.peers.Addr())
+	if p.assignment != nil {
+		p.peers.Viewed(p.assignment.viewed)
+	}
 	return nil
 }
 
--- a/dispatch.go
+++ b/dispatch.go
@@ -108,7 +108,7 @@
 // tasks are of one worth: then nothing is kept from them, or where room never comes:
 // so half of the machines stay open to all.
 func (p *Placer) keepFor(t *task) {
-	if !p.s.HasView || len(p.kept)*2 >= len(p.order) {
+	if !p.s.HasView || len(p.kept)*2 >= p.own() {
 		return
 	}
 	if m := p.nearestToRoom(t); m != nil {
--- a/fleet.go
+++ b/fleet.go
@@ -30,7 +30,7 @@
 	have := [2]float64{p.listedSize.cores, p.listedSize.memory}
 	for r := range shares {
 		beyond := max(0, net[r]-2*math.Sqrt(squares[r]))
-		shares[r] = beyond * float64(p.s.FleetSize-1) / max(1, have[r])
+		shares[r] = beyond * float64(p.sharers()-1) / max(1, have[r])
 	}
 	return shares
 }
@@ -42,7 +42,7 @@
 	if p.s.UnitCores <= 0 || p.s.UnitMemory <= 0 {
 		return math.Inf(1) // no size is told: nothing is kept from anybody
 	}
-	if len(p.order) > enumerated && p.spareAt > 0 && p.now < p.spareAt+retryEvery {
+	if p.own() > enumerated && p.spareAt > 0 && p.now < p.spareAt+retryEvery {
 		return p.spare
 	}
 	p.settle()
@@ -50,7 +50,7 @@
 		if m.listed && m.State == Ready && m.kind >= 0 && p.s.HasView {
 			c, b := p.load(m)
 			bc, bm := p.bears(m)
-			free := min((bc-c)/p.s.UnitCores, (bm-b)/p.s.UnitMemory) / float64(p.s.FleetSize)
+			free := min((bc-c)/p.s.UnitCores, (bm-b)/p.s.UnitMemory) / float64(p.sharers())
 			units += max(0, min(free, m.window-float64(len(m.unanswered))))
 		}
 	}
@@ -68,7 +68,7 @@
 // fleet returns the asked share of the fleet and its mean cores. They only scale costs,
 // so of a large fleet they are computed anew once a second.
 func (p *Placer) fleet() (rho, cores float64) {
-	if f := &p.means; len(p.order) > enumerated && f.at > 0 && p.now < f.at+second {
+	if f := &p.means; p.own() > enumerated && f.at > 0 && p.now < f.at+second {
 		return f.rho, f.cores
 	}
 	p.settle()
@@ -114,10 +114,41 @@
 	}
 }
 
-// askedCores is what the fleet is asked for.
+// askedCores is what the fleet is asked for: foreign machines as much as the others, whose views
+// are told.
 func (p *Placer) askedCores() float64 {
 	p.settle()
-	return p.fleetAsked
+	if p.foreign == 0 {
+		return p.fleetAsked
+	}
+	return p.fleetAsked * float64(len(p.order)) / float64(max(1, p.own()))
+}
+
+// countForeign keeps the number of listed machines that belong to other placers.
+func (p *Placer) countForeign(m *machine) {
+	foreign := m.listed && m.State == Foreign
+	if foreign == m.foreign {
+		return
+	}
+	m.foreign = foreign
+	if foreign {
+		p.foreign++
+	} else {
+		p.foreign--
+	}
+	clear(p.preferred)
+}
+
+// own is the number of machines that belong to no other placer.
+func (p *Placer) own() int { return len(p.order) - p.foreign }
+
+// sharers is how many placers offer tasks to a machine: all of them, but this one alone where the
+// machines are divided among them.
+func (p *Placer) sharers() int {
+	if p.foreign > 0 {
+		return 1
+	}
+	return p.s.FleetSize
 }
 
 // spread is how many tasks of one program the machines hold, by place.
--- /dev/null
+++ b/foreign_test.go
@@ -0,0 +1,158 @@
+package ravenhitch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+)
+
+// This file tests that machines of other placers are offered nothing and change no decision.
+
+// recorded are the events of one turn.
+type recorded struct {
+	now    int64
+	events []Event
+}
+
+// recordHistory plays a drawn history and returns its turns after the first list, which it returns
+// as the machines that were there.
+func recordHistory(t *testing.T, seed uint64) (settings Settings, machines []Entry, turns []recorded) {
+	t.Helper()
+	h := newHistory(t, seed)
+	machines = slices.Clone(h.entries)
+	h.record = func(now int64, events []Event) { turns = append(turns, recorded{now, events}) }
+	for range h.stepCount {
+		h.step()
+	}
+	settings = h.settings()
+	settings.FleetSize, settings.SelfIndex, settings.Tenants = 1, 0, nil
+	return settings, machines, turns
+}
+
+// withForeign adds the entries of other placers' machines to the lists among events: a part of them
+// to a list of changes, all to a whole one.
+func withForeign(rng *rand.Rand, events []Event, foreign []Entry) []Event {
+	events = slices.Clone(events)
+	for i, e := range events {
+		l, ok := e.(List)
+		if !ok || l.Kind == ListFailed {
+			continue
+		}
+		l.Entries = slices.Clone(l.Entries)
+		for j := range foreign {
+			foreign[j].SpareCores = rng.Float64() * 20
+			if l.Kind != ListDelta || rng.IntN(2) == 0 {
+				at := rng.IntN(len(l.Entries) + 1)
+				l.Entries = slices.Insert(l.Entries, at, foreign[j])
+			}
+		}
+		events[i] = l
+	}
+	return events
+}
+
+// TestForeignMachinesChangeNothing replays histories with and without machines of other placers:
+// every action is the same.
+func TestForeignMachinesChangeNothing(t *testing.T) {
+	placed := 0
+	for seed := range uint64(60) {
+		settings, machines, turns := recordHistory(t, seed)
+		rng := rand.New(rand.NewPCG(seed, 83))
+		var foreign []Entry
+		for i := range 1 + rng.IntN(3*len(machines)) {
+			e := machines[rng.IntN(len(machines))]
+			e.Machine, e.State, e.StartUs = fmt.Sprint("f", i), Foreign, 0
+			foreign = append(foreign, e)
+		}
+		alone, err := New(settings, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		among, err := New(settings, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := []Event{List{Kind: ListFull, Entries: machines}}
+		turns = slices.Insert(turns, 0, recorded{turns[0].now - 1, first})
+		for i, turn := range turns {
+			want := alone.Handle(turn.now, turn.events)
+			got := among.Handle(turn.now, withForeign(rng, turn.events, foreign))
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("seed %d, turn %d, %d machines and %d foreign ones: expected\n%+v\ngot\n%+v", seed, i, len(machines),
+					len(foreign), want, got)
+			}
+			placed += len(of[Place](want))
+		}
+	}
+	if placed < 500 {
+		t.Errorf("expected 500 placements compared at least, got %d", placed)
+	}
+}
+
+// TestMachineChangesHands follows one machine to another placer and back: its tasks stand, it is
+// offered nothing meanwhile, and it is offered tasks again.
+func TestMachineChangesHands(t *testing.T) {
+	a, b := small("a", 1, 8), small("b", 2, 8)
+	bed := newBed(t, testSettings(), 1, a)
+	bed.placed(bed.at(10*ms, bed.request("1", "safe", 1, 1)), "a")
+	bed.at(10*ms, Accepted{Ticket: "1", Machine: "a", RTTUs: ms})
+	a.State = Foreign
+	for _, action := range bed.at(10*ms, List{Kind: ListDelta, Entries: []Entry{a, b}}) {
+		t.Errorf("expected nothing as a machine changes hands, got %+v", action)
+	}
+	bed.placed(bed.at(10*ms, bed.request("2", "safe", 1, 1)), "b")
+	if m := bed.p.machines["a"]; len(m.running) != 1 {
+		t.Errorf("expected the task at the other placer's machine to stand, got %d", len(m.running))
+	}
+	a.State, b.State = Ready, Foreign
+	bed.at(10*ms, List{Kind: ListDelta, Entries: []Entry{a, b}})
+	bed.placed(bed.at(10*ms, bed.request("3", "safe", 1, 1)), "a")
+	bed.at(10*ms, List{Kind: ListDelta, Entries: []Entry{{Machine: "b", State: Gone}}})
+	if bed.p.foreign != 0 {
+		t.Errorf("expected no foreign machine to be counted after it is gone, got %d", bed.p.foreign)
+	}
+}
+
+// TestChangeOfHandsTellsNoView keeps what is learned of the view's lag from entries that are told
+// again only since their machine changed hands, and from those of other placers' machines.
+func TestChangeOfHandsTellsNoView(t *testing.T) {
+	a := small("a", 1, 8)
+	bed := newBed(t, testSettings(), 1, a)
+	bed.placed(bed.at(10*ms, bed.request("1", "safe", 1, 1)), "a")
+	seen := bed.p.lagSeen
+	for _, state := range []State{Foreign, Ready, Foreign, Foreign, Ready} {
+		a.State = state
+		if state == Foreign {
+			a.SpareCores--
+		}
+		bed.at(10*ms, List{Kind: ListDelta, Entries: []Entry{a}})
+	}
+	if bed.p.lagSeen != seen {
+		t.Errorf("expected nothing to be learned of the lag, got %g changes of the view", bed.p.lagSeen-seen)
+	}
+	a.SpareCores--
+	bed.at(10*ms, List{Kind: ListDelta, Entries: []Entry{a}})
+	if bed.p.lagSeen == seen {
+		t.Error("expected a new view to teach of the lag")
+	}
+}
+
+// TestQuotaOfDividedFleet compares the guess of what all machines are asked for with the one of a
+// placer that is told all views.
+func TestQuotaOfDividedFleet(t *testing.T) {
+	var whole, divided []Entry
+	for i := range 90 {
+		e := small(fmt.Sprint("m", i), i, 4)
+		whole = append(whole, e)
+		if i%9 != 0 {
+			e.State, e.SpareCores = Foreign, 0 // an old view
+		}
+		divided = append(divided, e)
+	}
+	want := newBed(t, testSettings(), 1, whole...).p.askedCores()
+	if got := newBed(t, testSettings(), 1, divided...).p.askedCores(); got < want*0.99 || got > want*1.01 {
+		t.Errorf("expected the fleet to be asked for %g cores, got %g", want, got)
+	}
+}
--- a/history_test.go
+++ b/history_test.go
@@ -52,6 +52,7 @@
 	tickets   int
 	level     float64 // share of the machines that is asked for
 	stepCount int
+	record    func(now int64, events []Event) // what is handed over, or nil
 }
 
 func newHistory(t *testing.T, seed uint64) *history {
@@ -186,6 +187,9 @@
 		}
 	}()
 	h.steps++
+	if h.record != nil {
+		h.record(h.now, events)
+	}
 	actions := h.p.Handle(h.now, events)
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/index.go
+++ b/index.go
@@ -364,7 +364,7 @@
 		m.askedCores, m.askedMemory = p.load(m)
 	}
 	m.stale = false
-	if m.listed && k != nil && p.s.HasView {
+	if m.listed && !m.foreign && k != nil && p.s.HasView {
 		m.counted = k
 		p.fleetAsked += m.askedCores
 		p.listedSize.cores += k.Cores
@@ -394,9 +394,9 @@
 	var first []*machine
 	mixed := mix(program)
 	// Most are told apart by the whole number: a place below awayOver has a hash over this.
-	least := uint64(max(0, 1-1.001*awayOver/float64(len(p.ids))) * math.MaxUint64)
+	least := uint64(max(0, 1-1.001*awayOver/float64(max(1, p.own()))) * math.MaxUint64)
 	for i, id := range p.ids {
-		if h := mix(id ^ mixed); h >= least && p.hashedPlace(h) < awayOver {
+		if h := mix(id ^ mixed); h >= least && p.hashedPlace(h) < awayOver && !p.order[i].foreign {
 			first = append(first, p.order[i])
 		}
 	}
@@ -404,9 +404,10 @@
 	return first
 }
 
-// hashedPlace is the place of a machine in the order hashed from a program, from its hash.
+// hashedPlace is the place of a machine in the order hashed from a program, from its hash. Of
+// machines that are divided among placers, only this one's are counted.
 func (p *Placer) hashedPlace(hash uint64) float64 {
-	return (1 - float64(hash)/math.MaxUint64) * float64(len(p.order))
+	return (1 - float64(hash)/math.MaxUint64) * float64(p.own())
 }
 
 // keepMachine keeps m for held tasks of a rank, for this round.
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -46,6 +46,9 @@
 	Hall            string // "" for that of the configuration
 	Folder          string // kept from start to start, or ""
 	Members         []PeerAddress
+	// Partition divides the workers among the orchestrators that are there: each places tasks at
+	// its own alone, and asks the command channel for the room of these.
+	Partition bool
 }
 
 // PeerAddress is where another orchestrator is reached from here.
@@ -116,11 +119,12 @@
 			"trace": e.trace,
 		},
 		"peers": {
-			"listen":  word(&e.Peers.Listen, "address:port", isAddress),
-			"cluster": word(&e.Peers.Cluster, "a name of 1 to 64 bytes", isPeerName),
-			"hall":    word(&e.Peers.Hall, "a name of 1 to 64 bytes", isPeerName),
-			"folder":  word(&e.Peers.Folder, "the absolute path of a folder", isAbsolute),
-			"member":  e.Peers.member,
+			"listen":    word(&e.Peers.Listen, "address:port", isAddress),
+			"cluster":   word(&e.Peers.Cluster, "a name of 1 to 64 bytes", isPeerName),
+			"hall":      word(&e.Peers.Hall, "a name of 1 to 64 bytes", isPeerName),
+			"folder":    word(&e.Peers.Folder, "the absolute path of a folder", isAbsolute),
+			"member":    e.Peers.member,
+			"partition": e.Peers.partition,
 		},
 		"storm": {
 			"advice":  e.Storm.advice,
@@ -138,6 +142,9 @@
 	if (e.Peers.Listen == "") != (e.Peers.Cluster == "") {
 		return fmt.Errorf("%s: [peers]: expected both listen and cluster, or neither", file)
 	}
+	if e.Peers.Partition && e.Peers.Listen == "" {
+		return fmt.Errorf("%s: [peers]: partition on needs listen and cluster: the workers are divided among the members", file)
+	}
 	return nil
 }
 
@@ -238,6 +245,13 @@
 	return nil
 }
 
+// partition takes whether the workers are divided among the members.
+func (p *Peers) partition(d Directive) error {
+	v, err := d.OneOf("on", "off")
+	p.Partition = v == "on"
+	return err
+}
+
 // names lists what is known.
 func names[V any](m map[string]V) string {
 	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -228,7 +228,7 @@
 		if c.listed[e.Machine] = true; e.State == ravenhitch.Gone {
 			delete(c.listed, e.Machine)
 		}
-		if e.State == ravenhitch.Ready {
+		if e.State == ravenhitch.Ready || e.State == ravenhitch.Foreign {
 			delete(c.told, e.Machine)
 		} else if _, ok := c.told[e.Machine]; !ok {
 			c.told[e.Machine] = now
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -1,8 +1,8 @@
 package core
 
-// This file owns which minions are out by hand and how that goes together with what
-// the channel lists. A minion that is out drains for this orchestrator, whatever the
-// list says, until it is put back by hand; it must never be put back by a list.
+// This file owns which workers are out by hand or belong to another orchestrator, and how that
+// goes together with what the channel lists. A worker that is out drains for this orchestrator,
+// whatever the list says, until it is put back by hand; it must never be put back by a list.
 
 import (
 	"maps"
@@ -15,7 +15,8 @@
 type roster struct {
 	last map[string]ravenhitch.Entry // as the channel told it
 	out  map[string]bool
-	back map[string]bool // put back, and not ready since
+	back map[string]bool        // put back, and not ready since
+	own  func(node string) bool // places tasks there, nil: at all nodes
 }
 
 // list takes a list and returns its entries as they hold here.
@@ -41,9 +42,31 @@
 		e.Returned = true
 		delete(o.back, e.Machine)
 	}
+	if e.State == ravenhitch.Ready && !o.owns(e.Machine) {
+		e.State = ravenhitch.Foreign
+	}
 	return e
 }
 
+// owns reports whether this orchestrator places tasks at a node.
+func (o *roster) owns(node string) bool { return o.own == nil || o.own(node) }
+
+// Own says at which nodes this orchestrator places tasks from now on; the others are left to other
+// orchestrators. What stands there stays. own must answer alike until the next call.
+func (c *Core) Own(now int64, own func(node string) bool) {
+	o, before := &c.roster, c.roster.own
+	o.own = own
+	l := ravenhitch.List{Kind: ravenhitch.ListDelta}
+	for _, node := range slices.Sorted(maps.Keys(o.last)) {
+		if (before == nil || before(node)) != o.owns(node) {
+			l.Entries = append(l.Entries, o.last[node])
+		}
+	}
+	if len(l.Entries) > 0 {
+		c.List(now, l)
+	}
+}
+
 // Known reports whether a node is listed, or out by hand.
 func (c *Core) Known(node string) bool { return c.listed[node] || c.roster.out[node] }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,6 +62,8 @@
 	carriers map[lane]*inboundConn
 	takes    map[Kind]func(from string, b []byte)
 	room     func(to string, k Kind)
+	viewed   func(membership.View) // or nil
+	view     int64                 // number of the view that was told last
 }
 
 // New opens the sockets. The table begins to ask with the first turn.
@@ -146,6 +148,21 @@
 		}
 		p.log.Info("peers", "what", e.Kind.String(), "member", e.Name, "hall", e.Zone, "evidence", e.Evidence)
 	}
+	p.tellView()
+}
+
+// Viewed names what is told each stable view from now on, on the loop.
+func (p *Peers) Viewed(f func(membership.View)) {
+	p.viewed = f
+	p.tellView()
+}
+
+// tellView tells a view that is new.
+func (p *Peers) tellView() {
+	if v := p.table.View(); p.viewed != nil && v.Number != p.view {
+		p.view = v.Number
+		p.viewed(v)
+	}
 }
 
 // Leave tells the others that this one goes on purpose.
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -44,6 +44,8 @@
 
 	askedAt int64 // when it was first asked, or 0
 	told    bool  // it has answered
+
+	partition *partition // of the workers among orchestrators, nil where this one uses all
 }
 
 // Followed reports whether this process has been told what the channel knows: it has
@@ -149,8 +151,8 @@
 }
 
 func (ch *Channel) ask() {
-	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		ch.cursor, blockMs, ch.addr)))
+	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d%s HTTP/1.1\r\nHost: %s\r\n\r\n",
+		ch.cursor, blockMs, ch.partition.ask(), ch.addr)))
 	if ch.askedAt == 0 {
 		ch.askedAt = ch.l.Now()
 	}
@@ -199,6 +201,9 @@
 	ch.limit.Stop()
 	ch.told = true
 	ch.Apply(u, false)
+	if ch.partition.answered() {
+		ch.owned()
+	}
 	if used < len(b) {
 		ch.log.Warn("the command channel told what it was not asked", "cursor", ch.cursor)
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -11,6 +11,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 
 	"ravenhitch"
 	"ravenhitch/internal/core"
@@ -62,10 +63,12 @@
 	dialUs  int64
 	tests   bool // workers may be sent tests
 	links   map[string]*link
-	tries   int64    // offers that left whole and are settled
-	pending []func() // outcomes found while the core was acting
-	held    []held   // offers that wait until their clients are heard
-	sharing *sharing // of descriptors, nil where there are enough for all
+	order   []*link                  // links by name, nil where that is to be found anew
+	own     func(worker string) bool // this orchestrator places tasks there, nil: at all workers
+	tries   int64                    // offers that left whole and are settled
+	pending []func()                 // outcomes found while the core was acting
+	held    []held                   // offers that wait until their clients are heard
+	sharing *sharing                 // of descriptors, nil where there are enough for all
 }
 
 // NewNodes returns the links, of which there are none yet; tests says that workers may be
@@ -83,29 +86,66 @@
 	n.l.After(sweepNodes, n.sweep)
 }
 
+// Own says at which workers this orchestrator places tasks: connections to these are kept, and to
+// the others while tasks stand there. own must answer alike until the next call.
+func (n *Nodes) Own(own func(worker string) bool) {
+	n.own = own
+	for _, k := range n.sorted() {
+		if k.own = n.owns(k.id); k.own {
+			k.ensure()
+		}
+	}
+}
+
+func (n *Nodes) owns(worker string) bool { return n.own == nil || n.own(worker) }
+
+// sorted is all links by name. It stays as it is while links come and go.
+func (n *Nodes) sorted() []*link {
+	if n.order == nil {
+		n.order = slices.SortedFunc(maps.Values(n.links), func(a, b *link) int { return strings.Compare(a.id, b.id) })
+	}
+	return n.order
+}
+
+func (n *Nodes) add(k *link) {
+	n.links[k.id], n.order = k, nil
+}
+
+func (n *Nodes) remove(k *link) {
+	delete(n.links, k.id)
+	n.order = nil
+}
+
+// sweep looks at each worker.
+func (n *Nodes) sweep() {
+	held, now := n.core.Held(), n.l.Now()
+	for _, k := range n.sorted() {
+		k.sweep(held[k.id], now)
+	}
+	n.l.After(sweepNodes, n.sweep)
+}
+
 // sweep opens another connection where the one there may be dead: tasks stand
 // there and nothing came for long. Without offers nobody would notice, and ends of
 // tasks would wait for ever. (A connection on which an offer was given up while
 // nothing came in is closed at the give-up.)
-func (n *Nodes) sweep() {
-	held, now := n.core.Held(), n.l.Now()
-	for _, id := range slices.Sorted(maps.Keys(n.links)) {
-		k := n.links[id]
+func (k *link) sweep(held core.Holding, now int64) {
+	if len(k.unheard) > 0 {
 		maps.DeleteFunc(k.unheard, func(_ string, at int64) bool { return now-at > unheardFor })
-		if held[id].Tasks > 0 {
-			k.require()
-		} else {
-			k.ensure() // where there was no room before
-		}
-		if len(k.conns) == 0 || len(k.conns) >= maxStray || held[id].Tasks == 0 {
-			continue
-		}
-		if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > maxQuiet && n.sharing.workersRoom() {
-			k.dial()
-		}
-		k.listen(held[id], now)
 	}
-	n.l.After(sweepNodes, n.sweep)
+	if held.Tasks == 0 {
+		k.ensure() // where there was no room before
+		k.part()
+		return
+	}
+	k.require()
+	if len(k.conns) == 0 || len(k.conns) >= maxStray {
+		return
+	}
+	if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > maxQuiet && k.n.sharing.workersRoom() {
+		k.dial()
+	}
+	k.listen(held, now)
 }
 
 // later tells the core of an outcome in the next turn, not from within a call.
@@ -163,8 +203,8 @@
 		if !listed {
 			return
 		}
-		k = &link{n: n, id: id, addr: addr}
-		n.links[id] = k
+		k = &link{n: n, id: id, addr: addr, own: n.owns(id)}
+		n.add(k)
 	}
 	if listed && addr != k.addr {
 		k.addr = addr
@@ -177,22 +217,22 @@
 	}
 	k.redial.Stop()
 	if len(k.conns) == 0 {
-		delete(n.links, id)
+		n.remove(k)
 		return
 	}
 	n.l.After(partAfter, func() {
 		if n.links[id] == k && !k.listed {
 			k.closeAll()
-			delete(n.links, id)
+			n.remove(k)
 		}
 	})
 }
 
 // Reset forgets the workers that a whole list did not name.
 func (n *Nodes) Reset(named map[string]bool) {
-	for _, id := range slices.Sorted(maps.Keys(n.links)) {
-		if !named[id] {
-			n.Update(id, "", false)
+	for _, k := range n.sorted() {
+		if !named[k.id] {
+			n.Update(k.id, "", false)
 		}
 	}
 }
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -209,7 +209,7 @@
 		}
 	}
 	if !k.listed && len(k.conns) == 0 {
-		delete(k.n.links, k.id)
+		k.n.remove(k)
 	}
 }
 
--- a/internal/platform/worker_link.go
+++ b/internal/platform/worker_link.go
@@ -19,6 +19,7 @@
 	id     string
 	addr   string
 	listed bool
+	own    bool          // this orchestrator places tasks there
 	conns  []*workerConn // the last one takes new offers
 	wait   int64         // before the next dial
 	redial *loop.Timer
@@ -72,14 +73,22 @@
 	return nc
 }
 
-// ensure keeps a connection to a listed worker, where there is room: tasks that stand
-// belong to no connection, and their end comes on any.
+// ensure keeps a connection to a listed worker of this orchestrator, where there is room: tasks
+// that stand belong to no connection, and their end comes on any.
 func (k *link) ensure() {
-	if k.unconnected() && k.n.sharing.workersRoom() {
+	if k.own && k.unconnected() && k.n.sharing.workersRoom() {
 		k.dial()
 	}
 }
 
+// part closes the connection to a worker of another orchestrator that nothing waits on. No task
+// stands there.
+func (k *link) part() {
+	if !k.own && len(k.conns) == 1 && k.conns[0].isIdle() {
+		k.conns[0].end(nil)
+	}
+}
+
 // require keeps a connection to a listed worker where tasks stand: others make room for it.
 func (k *link) require() {
 	if k.unconnected() && k.n.makeRoom() {
@@ -99,7 +108,7 @@
 	}
 	k.wait = min(maxRedial, max(minRedial, k.wait*2))
 	k.redial = k.n.l.After(k.wait, func() {
-		if k.listed && len(k.conns) == 0 && k.n.sharing.workersRoom() {
+		if k.own && k.listed && len(k.conns) == 0 && k.n.sharing.workersRoom() {
 			k.dial()
 		}
 	})
--- a/internal/standin/hollow/fleet.go
+++ b/internal/standin/hollow/fleet.go
@@ -43,7 +43,7 @@
 	observer Observer
 
 	mutex   sync.Mutex
-	changed map[int]bool // workers whose entry changed since Changes was called
+	changed changes // since takeChanges was called
 
 	refusals   counter
 	messages   counter
@@ -55,7 +55,7 @@
 
 // NewFleet starts the workers.
 func NewFleet(options Options, observer Observer) (*Fleet, error) {
-	f := &Fleet{observer: observer, changed: map[int]bool{}, stop: make(chan struct{})}
+	f := &Fleet{observer: observer, changed: changes{}, stop: make(chan struct{})}
 	for i := range options.Workers {
 		rack := i / options.Cell
 		w := &Worker{
@@ -135,19 +135,33 @@
 	return n
 }
 
-// Touch marks a worker as changed, though nothing is different: the list tells its entry again.
-func (f *Fleet) Touch(index int) {
+// change is what changed of a worker's entry on the list.
+type change int
+
+const (
+	changedRoom  change = iota // only what it has free
+	changedState               // whether and where it is there
+)
+
+// changes are those of workers, by index.
+type changes map[int]change
+
+// Touch marks the room of a worker as changed, though nothing may be different: the list tells its
+// entry again.
+func (f *Fleet) Touch(index int) { f.change(index, changedRoom) }
+
+func (f *Fleet) change(index int, what change) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.changed[index] = true
+	f.changed[index] = max(f.changed[index], what)
 }
 
-// takeChanges returns the workers that changed since the last call.
-func (f *Fleet) takeChanges() map[int]bool {
+// takeChanges returns what changed since the last call.
+func (f *Fleet) takeChanges() changes {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	changed := f.changed
-	f.changed = map[int]bool{}
+	f.changed = changes{}
 	return changed
 }
 
--- a/internal/standin/hollow/source.go
+++ b/internal/standin/hollow/source.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -9,10 +10,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"ravenhitch/internal/shard"
 )
 
 // This file owns the source of the worker list: its events, and which of them each orchestrator
-// has heard.
+// has heard. An orchestrator that names shards in its calls is told the room of their workers alone;
+// whether and where a worker is there is told to all.
 
 // keptEvents bounds the events that are kept. An orchestrator that is further behind is told the
 // whole list.
@@ -36,7 +40,24 @@
 
 type event struct {
 	revision int
-	entries  []string
+	entries  []eventEntry
+}
+
+// eventEntry is the entry of a worker as text.
+type eventEntry struct {
+	text  string
+	shard int
+	toAll bool // it tells more than the worker's room
+}
+
+// textsFor are the entries that an orchestrator is told.
+func (e *event) textsFor(shards shard.Set) (texts []string) {
+	for _, entry := range e.entries {
+		if entry.toAll || shards.Has(entry.shard) {
+			texts = append(texts, entry.text)
+		}
+	}
+	return texts
 }
 
 // NewSource starts a source that tells changes at an interval.
@@ -84,12 +105,30 @@
 	if len(changed) == 0 {
 		return
 	}
-	var entries []string
-	for index := range changed {
-		entries = append(entries, s.fleet.Workers[index].entry())
+	var entries []eventEntry
+	for index, what := range changed {
+		entries = append(entries, s.fleet.Workers[index].eventEntry(what))
 	}
-	s.revision++
 	s.told += int64(len(entries))
+	s.add(entries)
+}
+
+// tellFresh makes an event of the workers of some shards as they are now.
+func (s *Source) tellFresh(shards shard.Set) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var entries []eventEntry
+	for _, w := range s.fleet.Workers {
+		if shards.HasWorker(w.ID) {
+			entries = append(entries, w.eventEntry(changedRoom))
+		}
+	}
+	s.add(entries)
+}
+
+// add makes an event. The lock is held.
+func (s *Source) add(entries []eventEntry) {
+	s.revision++
 	s.events = append(s.events, event{s.revision, entries})
 	if len(s.events) > keptEvents {
 		s.events = s.events[1:]
@@ -176,8 +215,18 @@
 
 // next answers a call for what follows an event.
 func (u *Subscription) next(w http.ResponseWriter, r *http.Request) {
-	after, _ := strconv.Atoi(r.URL.Query().Get("resume"))
-	block, _ := strconv.Atoi(r.URL.Query().Get("block"))
+	query := r.URL.Query()
+	after, _ := strconv.Atoi(query.Get("resume"))
+	block, _ := strconv.Atoi(query.Get("block"))
+	shards, err := shardsOf(query.Get("shards"), shard.All())
+	fresh, freshErr := shardsOf(query.Get("fresh"), shard.Set{})
+	if err = cmp.Or(err, freshErr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !fresh.Empty() {
+		u.source.tellFresh(fresh)
+	}
 	u.mutex.Lock()
 	base := u.base
 	u.heard = base + after
@@ -185,7 +234,7 @@
 	limit := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		answer, more := u.source.after(base, after)
+		answer, last, more := u.source.after(base, after, shards)
 		if answer != "" {
 			io.WriteString(w, answer)
 			return
@@ -193,7 +242,7 @@
 		select {
 		case <-more:
 		case <-limit.C:
-			fmt.Fprintf(w, `{"cursor":%d,"cmds":[]}`, after)
+			fmt.Fprintf(w, `{"cursor":%d,"cmds":[]}`, last)
 			return
 		case <-r.Context().Done():
 			return
@@ -201,25 +250,37 @@
 	}
 }
 
-// after is the answer with what follows a cursor, or "" and where more will be noticed.
-func (s *Source) after(base, cursor int) (string, <-chan struct{}) {
+// shardsOf reads the shards that a call names; where it names none, absent are meant.
+func shardsOf(text string, absent shard.Set) (shard.Set, error) {
+	if text == "" {
+		return absent, nil
+	}
+	return shard.Parse(text)
+}
+
+// after is the answer with what follows a cursor in some shards, or "" and where more will be
+// noticed; last is the cursor of the last event.
+func (s *Source) after(base, cursor int, shards shard.Set) (answer string, last int, more <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	heard := base + cursor
-	if s.revision <= heard {
-		return "", s.more
-	}
-	last := s.revision - base
-	if len(s.events) == 0 || s.events[0].revision > heard+1 {
-		return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, s.whole(last)), nil
+	last = max(cursor, s.revision-base)
+	if s.revision > heard && (len(s.events) == 0 || s.events[0].revision > heard+1) {
+		return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, s.whole(last)), last, nil
 	}
 	var events []string
 	for _, e := range s.events {
-		if e.revision > heard {
-			events = append(events, eventText(e.revision-base, e.revision, false, e.entries))
+		if e.revision <= heard {
+			continue
+		}
+		if texts := e.textsFor(shards); len(texts) > 0 {
+			events = append(events, eventText(e.revision-base, e.revision, false, texts))
 		}
 	}
-	return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, strings.Join(events, ",")), nil
+	if len(events) == 0 {
+		return "", last, s.more
+	}
+	return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, strings.Join(events, ",")), last, nil
 }
 
 // Close ends the channel.
--- a/internal/standin/hollow/worker.go
+++ b/internal/standin/hollow/worker.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"ravenhitch/internal/shard"
 	"ravenhitch/internal/standin"
 )
 
@@ -292,7 +293,7 @@
 	w.mutex.Lock()
 	w.state = state
 	w.mutex.Unlock()
-	w.fleet.Touch(w.index)
+	w.fleet.change(w.index, changedState)
 }
 
 // Tasks is how many tasks stand at the worker.
@@ -316,3 +317,8 @@
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":%q,"size":1,"up_since_ms":%d,"spare":[%g,%g]}`,
 		w.ID, w.address, w.Zone, w.Kind.Name, w.Cell, state, since, w.Kind.Cores-w.cores, w.Kind.Memory-w.memory)
 }
+
+// eventEntry is its entry of the list as part of an event.
+func (w *Worker) eventEntry(what change) eventEntry {
+	return eventEntry{text: w.entry(), shard: shard.Of(w.ID), toAll: what == changedState}
+}
--- a/machine.go
+++ b/machine.go
@@ -36,6 +36,7 @@
 	id                 uint64 // hash of its name
 	known              bool   // it was on a list, so its places are known
 	listed             bool   // it is on the list held now
+	foreign            bool   // it is in Placer.foreign
 	kind               int    // index in Settings.Kinds, or -1
 	viewAt             int64
 	spares             [lastingViews][2]float64 // of the last views
@@ -103,6 +104,7 @@
 // setListed notes whether m is on the list held now.
 func (p *Placer) setListed(m *machine, listed bool) {
 	m.listed = listed
+	p.countForeign(m)
 	if listed {
 		delete(p.departed, m)
 	} else {
@@ -312,7 +314,8 @@
 
 func (p *Placer) entry(x Entry, fresh bool) {
 	m := p.machine(x.Machine)
-	if fresh && m.known && m.viewAt > 0 && m.StartUs == x.StartUs && p.s.HasView {
+	own := m.State != Foreign && x.State != Foreign // a change of hands tells no new view
+	if fresh && own && m.known && m.viewAt > 0 && m.StartUs == x.StartUs && p.s.HasView {
 		p.learnLag(m, x)
 	}
 	if m.known && m.StartUs != x.StartUs {
--- a/state.go
+++ b/state.go
@@ -31,6 +31,7 @@
 	ids          []uint64              // of order
 	reordered    bool                  // ordinals and ids are those of an earlier order
 	departed     map[*machine]bool     // in order, and not listed
+	foreign      int                   // listed machines of other placers
 	returned     map[*machine]bool     // put back by hand, and perhaps used since
 	lagged       []*machine            // see laggedMachines; and others
 	bent         []*machine            // whose bends may not be forgotten yet
--- a/test/scale/options_test.go
+++ b/test/scale/options_test.go
@@ -16,8 +16,8 @@
 // (the data path: tests in place of set-ups, as many messages as the starts make), list (with -parts:
 // list changes alone), standing (tasks that run, none of them ending, and nothing else), work (with
 // -parts: starts and ends without list changes) and peak (all). The last line's cpu_control_pct_max is
-// the peak without what messages need over idle. -peers=false plays without membership; -failures
-// plays the failures after the peak.
+// the peak without what messages need over idle. -peers=false plays without membership, -partition=false
+// with all workers at each orchestrator; -failures plays the failures after the peak.
 //
 // This file owns the flags.
 package scale
@@ -42,6 +42,7 @@
 		"-starts and -running are of those that run, the others' tasks and list changes are played without them")
 	samplesFlag  = flag.String("samples", "", "file for the samples as CSV; \"\": in the test's directory")
 	peersFlag    = flag.Bool("peers", true, "let the orchestrators know each other")
+	dividedFlag  = flag.Bool("partition", true, "divide the workers among the orchestrators; needs -peers")
 	partsFlag    = flag.Bool("parts", false, "play the phases list and work too, as long as the peak each")
 	failuresFlag = flag.Bool("failures", false, "play the failures after the peak")
 	kindsFlag    = flag.String("failure-kinds", strings.Join(failureKinds, ","), "which failures")
@@ -56,13 +57,15 @@
 	sockets, fleetSize              int
 	samples                         string
 	failureKinds                    []string
-	peers, parts, failures          bool
+	peers, partition                bool
+	parts, failures                 bool
 }
 
 func flagOptions() options {
 	o := options{workers: *workersFlag, orchestrators: *orchestratorsFlag, running: *runningFlag, starts: *startsFlag,
 		peak: seconds(*secondsFlag), listEvery: time.Duration(*listFlag) * time.Millisecond, seed: *seedFlag,
-		sockets: *socketsFlag, fleetSize: *fleetSizeFlag, samples: *samplesFlag, peers: *peersFlag, idle: *idleFlag, parts: *partsFlag, failures: *failuresFlag,
+		sockets: *socketsFlag, fleetSize: *fleetSizeFlag, samples: *samplesFlag, peers: *peersFlag, partition: *peersFlag && *dividedFlag, idle: *idleFlag,
+		parts: *partsFlag, failures: *failuresFlag,
 		failureKinds: strings.Split(*kindsFlag, ",")}
 	if o.fleetSize == 0 {
 		o.fleetSize = o.orchestrators
--- a/test/scale/rig_test.go
+++ b/test/scale/rig_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"ravenhitch/internal/shard"
 	"ravenhitch/internal/standin/hollow"
 )
 
@@ -129,9 +130,11 @@
 // admitPatience is how long the platform waits for orchestrators at the start of a run.
 const admitPatience = 30 * time.Second
 
-// standing draws the tasks that run already, and puts them at workers with room.
+// standing draws the tasks that run already, and puts them at workers with room: where the workers
+// are divided, at those of the orchestrator that holds them, which it would have chosen among.
 func (r *rig) standing() []*task {
 	var all []*task
+	places := r.workersByOrchestrator()
 	random := rand.New(rand.NewPCG(r.options.seed, 37))
 	for len(all) < r.options.running {
 		j := r.demand.next()
@@ -139,7 +142,7 @@
 		for i := range min(j.size, r.options.running-len(all)) {
 			t := &task{job: j, key: fmt.Sprintf("%s-%03d", j.name, i), run: r.demand.run(), orchestrator: holder}
 			_, tag := holder.clients.pick()
-			r.put(t, random, tag)
+			r.put(t, places[holder], random, tag)
 			r.ledger.found(t)
 			all = append(all, t)
 		}
@@ -150,11 +153,30 @@
 // putTries bounds the workers that are looked at for a task that runs already.
 const putTries = 1000
 
-// put lets a task stand at a worker with room.
-func (r *rig) put(t *task, random *rand.Rand, tag string) {
+// workersByOrchestrator are the workers at which each orchestrator places tasks.
+func (r *rig) workersByOrchestrator() map[*orchestrator][]*hollow.Worker {
+	places, byName := map[*orchestrator][]*hollow.Worker{}, map[string]*orchestrator{}
+	var names []string
+	for _, o := range r.orchestrators {
+		if names, byName[o.Name] = append(names, o.Name), o; !r.options.partition {
+			places[o] = r.fleet.Workers
+		}
+	}
+	if r.options.partition {
+		owners := shard.Owners(names)
+		for _, w := range r.fleet.Workers {
+			owner := byName[owners[shard.Of(w.ID)]]
+			places[owner] = append(places[owner], w)
+		}
+	}
+	return places
+}
+
+// put lets a task stand at one of some workers, one with room.
+func (r *rig) put(t *task, workers []*hollow.Worker, random *rand.Rand, tag string) {
 	stands := hollow.Task{Cores: t.job.task.Cores, Memory: t.job.task.Memory, Run: t.run}
 	for range putTries {
-		w := r.fleet.Workers[random.IntN(len(r.fleet.Workers))]
+		w := workers[random.IntN(len(workers))]
 		if w.Stand(tag, t.key, stands) {
 			t.worker, t.tag = w.ID, tag
 			return
@@ -172,7 +194,7 @@
 	random, demand := rand.New(rand.NewPCG(r.options.seed, 47)), newDemand(r.options.seed+1, r.options)
 	for i := range int(r.options.othersShare() * float64(r.options.running)) {
 		t := &task{job: demand.next(), key: fmt.Sprintf("others-%06d", i), orchestrator: r.orchestrators[0], run: othersRun}
-		r.put(t, random, hollow.Tag(r.options.fleetSize, uint64(i)))
+		r.put(t, r.fleet.Workers, random, hollow.Tag(r.options.fleetSize, uint64(i)))
 	}
 }
 
--- a/test/scale/settings_test.go
+++ b/test/scale/settings_test.go
@@ -79,5 +79,8 @@
 			text += fmt.Sprintf("member %s %s\n", other.Name, other.peers())
 		}
 	}
+	if o.rig.options.partition {
+		text += "partition on\n"
+	}
 	return text
 }
--- a/view.go
+++ b/view.go
@@ -48,7 +48,7 @@
 	}
 	p.forget()
 	// Of a large fleet some change is told in each turn: held tasks wait for the bell then.
-	p.stirred = p.stirred || e.Kind != ListDelta || len(p.order) <= enumerated
+	p.stirred = p.stirred || e.Kind != ListDelta || p.own() <= enumerated
 }
 
 // learnLag compares a change of the view with own binds. The lag that explains
