Look after quiet connections by the system's signs of life; keep tasks by node

Ruled out: decisions (5%), the list.

`keepalive` in [workers] has the system ask for a sign of life after so long; a quiet connection whose last sign is fresh (TCP_INFO) is not doubted.

TestInvariants compares the holdings with the table after each step, TestNothingStays asks that none is left, TestOwnNodes follows a node that changes hands.

--- a/cmd/ravenhitch/main.go
+++ b/cmd/ravenhitch/main.go
@@ -215,6 +215,7 @@
 func (p *program) startCore(cfg config.Config, edge config.Edge) (err error) {
 	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, cfg.Settings.Tests, p.log)
 	p.nodes.Trace(edge.Trace)
+	p.nodes.KeepAlive(edge.Workers.KeepAlive)
 	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, p.log); err != nil {
 		return err
 	}
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -25,6 +25,7 @@
 	Collectd          Metrics
 	Storm             Storm
 	Peers             Peers
+	Workers           Workers
 	// LogLevel is the least level that is written: info, or debug for a line at
 	// each step of every request, which costs time on a busy day.
 	LogLevel slog.Level
@@ -51,6 +52,13 @@
 	Partition bool
 }
 
+// Workers says how connections to workers are looked after.
+type Workers struct {
+	// KeepAlive is after how long without a sign of life the system asks a worker's for one, and
+	// that such a sign proves the connection; 0: only what the worker says does.
+	KeepAlive time.Duration
+}
+
 // PeerAddress is where another orchestrator is reached from here.
 type PeerAddress struct{ Name, Address string }
 
@@ -126,6 +134,9 @@
 			"member":    e.Peers.member,
 			"partition": e.Peers.partition,
 		},
+		"workers": {
+			"keepalive": e.Workers.keepAlive,
+		},
 		"storm": {
 			"advice":  e.Storm.advice,
 			"least":   duration(&e.Storm.Least, 0, time.Minute),
@@ -252,6 +263,25 @@
 	return err
 }
 
+// keepAlive takes whole seconds, as the system counts them.
+func (w *Workers) keepAlive(d Directive) error {
+	v, err := d.Duration(keepAliveLeast, keepAliveMost)
+	if err != nil {
+		return err
+	}
+	if w.KeepAlive = v; v%time.Second != 0 {
+		return d.Args[0].Wrong("whole seconds from " + keepAliveLeast.String() + " to " + keepAliveMost.String())
+	}
+	return nil
+}
+
+// The bounds of a keepalive: an end has to be told within 8 s, and takes one to come once the
+// connection is found dead.
+const (
+	keepAliveLeast = time.Second
+	keepAliveMost  = 5 * time.Second
+)
+
 // names lists what is known.
 func names[V any](m map[string]V) string {
 	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
--- a/internal/core/advice.go
+++ b/internal/core/advice.go
@@ -73,7 +73,7 @@
 		SinceUs: r.SinceUs, From: r.From}
 }
 
-// to changes the state of a request, and keeps count of what waits for room.
+// to changes the state of a request, and keeps count of what waits for room and of what takes some.
 func (c *Core) to(r *request, s state) {
 	if r.state == s {
 		return
@@ -89,6 +89,12 @@
 	if c.waits == 0 {
 		clear(c.held) // no rounding errors are left behind
 	}
+	switch held := r.state.holds(); {
+	case held && !s.holds():
+		c.holdings.remove(r)
+	case !held && s.holds():
+		c.holdings.add(r)
+	}
 	r.state = s
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -98,37 +98,38 @@
 // Core is the request table round one decision module. It is not safe for
 // concurrent use.
 type Core struct {
-	placer  *ravenhitch.Placer
-	set     ravenhitch.Settings
-	effects map[string]ravenhitch.Effect
-	nodes   Nodes
-	log     *slog.Logger
-	now     int64
-	reqs    map[string]*request
-	keys    map[string]*request // the latest live request of each task
-	alias   map[string]*request // further tags of resumed requests
-	silent  map[string]*request // released, and of their end nothing is known
-	past    map[string]Answer   // final words on set-ups that may be repeated
-	pastAge []string
-	due     dues
-	bells   bells
-	events  []ravenhitch.Event
-	told    map[string]int64 // when a node was told to drain or to be gone
-	listed  map[string]bool
-	channel bool // the list is followed
-	observe bool // the module waits for the list
-	advisor Advisor
-	classes map[string]int
-	held    []float64 // units that wait for room, by class
-	waits   int       // requests that do
-	after   []float64 // the same after the actions of a turn; kept for its room
-	pressed pressure
-	spread  spread
-	sweepAt int64
-	counts  Counts
-	ends    map[string]Ends // by class
-	roster  roster
-	tracer  Tracer
+	placer   *ravenhitch.Placer
+	set      ravenhitch.Settings
+	effects  map[string]ravenhitch.Effect
+	nodes    Nodes
+	log      *slog.Logger
+	now      int64
+	reqs     map[string]*request
+	keys     map[string]*request // the latest live request of each task
+	alias    map[string]*request // further tags of resumed requests
+	silent   map[string]*request // released, and of their end nothing is known
+	holdings holdings
+	past     map[string]Answer // final words on set-ups that may be repeated
+	pastAge  []string
+	due      dues
+	bells    bells
+	events   []ravenhitch.Event
+	told     map[string]int64 // when a node was told to drain or to be gone
+	listed   map[string]bool
+	channel  bool // the list is followed
+	observe  bool // the module waits for the list
+	advisor  Advisor
+	classes  map[string]int
+	held     []float64 // units that wait for room, by class
+	waits    int       // requests that do
+	after    []float64 // the same after the actions of a turn; kept for its room
+	pressed  pressure
+	spread   spread
+	sweepAt  int64
+	counts   Counts
+	ends     map[string]Ends // by class
+	roster   roster
+	tracer   Tracer
 }
 
 // New returns a core that decides with a new module.
@@ -139,7 +140,7 @@
 	}
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
-		silent: map[string]*request{}, past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
+		silent: map[string]*request{}, holdings: holdings{}, past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
 		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
 		tracer: Tracer{Log: log}, ends: map[string]Ends{},
 		roster: roster{last: map[string]ravenhitch.Entry{}, out: map[string]bool{}, back: map[string]bool{}}}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -86,6 +86,8 @@
 		b.t.Fatalf("%s: may start twice", o.Tag)
 	case drains && b.now > at+2000*ms:
 		b.t.Fatalf("%s: offered to %s, told to drain %d ms before", o.Tag, node, (b.now-at)/ms)
+	case !b.roster.owns(node):
+		b.t.Fatalf("%s: offered to %s, which is another orchestrator's", o.Tag, node)
 	case o.WaitUs <= 0 || b.now+o.WaitUs > b.deadline[o.Tag]:
 		b.t.Fatalf("%s: an offer that waits for %d", o.Tag, o.WaitUs)
 	}
@@ -200,6 +202,27 @@
 	b.Turn(b.now)
 }
 
+// checkHoldings compares what is held at each node with the requests that take room there.
+func (b *bench) checkHoldings() {
+	held := map[string]int{}
+	for _, requests := range []map[string]*request{b.reqs, b.silent} {
+		for _, r := range requests {
+			if _, silent := b.silent[r.Tag]; r.state.holds() || silent && r == b.silent[r.Tag] {
+				held[r.node]++
+			}
+		}
+	}
+	for node := range b.holdings {
+		if b.Holding(node).Tasks != held[node] {
+			b.t.Fatalf("%s holds %d tasks, %d are counted", node, held[node], b.Holding(node).Tasks)
+		}
+		delete(held, node)
+	}
+	if len(held) > 0 {
+		b.t.Fatalf("tasks are held at %v and not counted", held)
+	}
+}
+
 // Whatever happens in whatever order, the invariants that the bench checks hold,
 // and every request that was not withdrawn has its answer in the end.
 func TestInvariants(t *testing.T) {
@@ -214,7 +237,7 @@
 			if len(tags) > 0 {
 				tag = rapid.SampledFrom(tags).Draw(t, "tag")
 			}
-			what := rapid.IntRange(0, 9).Draw(t, "what")
+			what := rapid.IntRange(0, 10).Draw(t, "what")
 			if b.unproved[tag] != "" && (what == 3 || what == 4) {
 				what = 8 // a minion says nothing of what it was told to give up
 			}
@@ -252,10 +275,16 @@
 				b.proved(tag)
 			case 9:
 				b.doubt = !b.doubt
+			case 10:
+				own := rapid.SampledFrom(append(nodes, "")).Draw(t, "own") // "": all
+				b.Own(b.now, func(node string) bool { return own == "" || node == own })
 			}
 			b.pass(rapid.Int64Range(0, 1500).Draw(t, "ms") * ms)
+			b.checkHoldings()
 		}
+		b.Own(b.now, nil)
 		b.pass(10_000 * ms)
+		b.checkHoldings()
 		for _, tag := range tags {
 			if _, ok := b.final[tag]; !ok && !withdrawn[tag] {
 				t.Fatalf("%s was never answered", tag)
@@ -406,8 +435,8 @@
 			}
 			b.pass(2000 * ms)
 			submit("t2")
-			if b.pass(2000 * ms); len(b.offers) != 1 || !b.Leaves("t1") || b.Held()["a"].Tasks != 1 {
-				t.Fatalf("offers %v, held %v", b.offers, b.Held())
+			if b.pass(2000 * ms); len(b.offers) != 1 || !b.Leaves("t1") || b.Holding("a").Tasks != 1 {
+				t.Fatalf("offers %v, held %v", b.offers, b.Holding("a"))
 			}
 			if err := b.submit("t1", "web", "k1", 1000); !errors.Is(err, ErrTag) {
 				t.Errorf("its tag again: %v", err)
@@ -583,7 +612,7 @@
 				t.Errorf("%d times to come", len(c.due))
 			}
 			b.pass(20_000 * ms)
-			if n := len(c.reqs) + len(c.keys) + len(c.alias) + len(c.past) + len(c.due) + len(c.silent) + c.waits; n > 0 || len(c.bells) > 1 {
+			if n := len(c.reqs) + len(c.keys) + len(c.alias) + len(c.past) + len(c.due) + len(c.silent) + len(c.holdings) + c.waits; n > 0 || len(c.bells) > 1 {
 				t.Errorf("%d requests, %d keys, %d aliases, %d last words, %d times, %d wait, %d bells", len(c.reqs), len(c.keys),
 					len(c.alias), len(c.past), len(c.due), c.waits, len(c.bells))
 			}
--- /dev/null
+++ b/internal/core/holdings.go
@@ -0,0 +1,68 @@
+package core
+
+// This file keeps which requests take room at which node: those that stand, that are being ended,
+// and that were set aside since the node is silent. It must never decide what becomes of them.
+
+import (
+	"cmp"
+	"slices"
+)
+
+// holdings are the requests at each node, in no order.
+type holdings map[string][]*request
+
+func (h holdings) add(r *request) { h[r.node] = append(h[r.node], r) }
+
+func (h holdings) remove(r *request) {
+	tasks := h[r.node]
+	i, last := slices.Index(tasks, r), len(tasks)-1
+	tasks[i], tasks[last] = tasks[last], nil
+	if last == 0 {
+		delete(h, r.node)
+		return
+	}
+	h[r.node] = tasks[:last]
+}
+
+// holds reports whether a request in this state takes room at its node.
+func (s state) holds() bool { return s == standing || s == leaving }
+
+// Holding is what stands at a node, or is being ended there.
+type Holding struct {
+	Tasks int
+	Since int64 // when the oldest was offered, 0 for one that was handed in as standing
+}
+
+// Holding is what stands at a node, or is being ended there.
+func (c *Core) Holding(node string) (h Holding) {
+	for i, r := range c.holdings[node] {
+		if h.Tasks++; i == 0 || r.sentAt < h.Since {
+			h.Since = r.sentAt
+		}
+	}
+	return h
+}
+
+// Holds reports whether anything stands at a node, or is being ended there.
+func (c *Core) Holds(node string) bool { return len(c.holdings[node]) > 0 }
+
+// orphans are the tasks that have stood for orphanAfter at a node that no list names, by tag, so that
+// the same happenings give the same actions.
+func (c *Core) orphans() (found []*request) {
+	for node, tasks := range c.holdings {
+		listed := c.listed[node]
+		for _, r := range tasks {
+			switch {
+			case r.state != standing:
+			case listed:
+				r.lostAt = 0
+			case r.lostAt == 0:
+				r.lostAt = c.now
+			case c.now-r.lostAt >= orphanAfter:
+				found = append(found, r)
+			}
+		}
+	}
+	slices.SortFunc(found, func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
+	return found
+}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -170,33 +170,6 @@
 	c.event(ravenhitch.Reached{Machine: node})
 }
 
-// Holding is what stands at a node, or is being ended there.
-type Holding struct {
-	Tasks int
-	Since int64 // when the oldest was offered, 0 for one that was handed in as standing
-}
-
-// Held is what stands at each node.
-func (c *Core) Held() map[string]Holding {
-	held := map[string]Holding{}
-	count := func(r *request) {
-		h, ok := held[r.node]
-		if h.Tasks++; !ok || r.sentAt < h.Since {
-			h.Since = r.sentAt
-		}
-		held[r.node] = h
-	}
-	for _, r := range c.reqs {
-		if r.state == standing || r.state == leaving {
-			count(r)
-		}
-	}
-	for _, r := range c.silent {
-		count(r)
-	}
-	return held
-}
-
 // NodeLost takes a proof that the process of a node has died: what stood there
 // is cut, and nobody will tell.
 func (c *Core) NodeLost(now int64, node string) {
--- a/internal/core/roster_test.go
+++ b/internal/core/roster_test.go
@@ -100,3 +100,46 @@
 		t.Errorf("%d listed", listed)
 	}
 }
+
+// What stands at a node that another orchestrator takes over stays, and is ended by its client as
+// before; nothing new goes there, and an offer that is out may leave.
+func TestOwnNodes(t *testing.T) {
+	b := newBench(t)
+	b.list(ravenhitch.ListFull, ravenhitch.Ready, "a")
+	b.pass(4000 * ms)
+	b.submit("t1", "web", "k1", 3000)
+	b.pass(10 * ms)
+	b.started("t1")
+	b.submit("t2", "web", "k2", 3000)
+	b.pass(10 * ms)
+	b.list(ravenhitch.ListDelta, ravenhitch.Ready, "b")
+	b.Own(b.now, func(node string) bool { return node == "b" })
+	if why := b.MayLeave(b.now+9000*ms, "a", "t2"); why != "its time is up" {
+		t.Errorf("an offer that is out is held back: %q", why)
+	}
+	if why := b.MayLeave(b.now, "a", "t2"); why != "" {
+		t.Errorf("an offer that is out is held back: %q", why)
+	}
+	b.started("t2")
+	for i, tag := range []string{"t3", "t4", "t5"} {
+		b.submit(tag, "web", "k"+tag, 3000)
+		b.pass(10 * ms)
+		if b.out[tag] != "b" {
+			t.Errorf("task %d went to %q", i, b.out[tag])
+		}
+		b.started(tag)
+	}
+	if h := b.Holding("a"); h.Tasks != 2 || !b.Stands("t1") || !b.Known("a") {
+		t.Errorf("%d tasks stand at a node that changed hands, expected 2", h.Tasks)
+	}
+	b.list(ravenhitch.ListDelta, ravenhitch.Draining, "a")
+	b.Own(b.now, nil)
+	if state := b.placerState("a"); state != ravenhitch.Draining {
+		t.Errorf("a node that drains is told to the module as %v", state)
+	}
+}
+
+// placerState is the state in which a node would be told to the module.
+func (b *bench) placerState(node string) ravenhitch.State {
+	return b.roster.held(b.roster.last[node]).State
+}
--- a/internal/core/silent.go
+++ b/internal/core/silent.go
@@ -22,11 +22,13 @@
 	c.forget(r)
 	r.lostAt = c.now
 	c.silent[r.Tag] = r
+	c.holdings.add(r)
 }
 
 // heard ends a task that was set aside.
 func (c *Core) heard(r *request, st ravenhitch.Status, why ravenhitch.Why) {
 	delete(c.silent, r.Tag)
+	c.holdings.remove(r)
 	c.trace("a released task has ended", r, "status", st)
 	c.advisor.Ended(c.now, r.caller())
 	c.done(r, st, why, true)
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -99,19 +99,10 @@
 		}
 	}
 	c.sweepSilent()
-	for _, r := range c.sorted() {
-		if r.state != standing || c.listed[r.node] {
-			r.lostAt = 0
-			continue
-		}
-		if r.lostAt == 0 {
-			r.lostAt = c.now
-		}
-		if c.now-r.lostAt >= orphanAfter {
-			c.log.Info("a task stood on a node that left the list", "tag", r.Tag, "node", r.node)
-			c.nodes.Release(r.node, r.Tag)
-			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
-		}
+	for _, r := range c.orphans() {
+		c.log.Info("a task stood on a node that left the list", "tag", r.Tag, "node", r.node)
+		c.nodes.Release(r.node, r.Tag)
+		c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
 	}
 }
 
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -106,6 +106,33 @@
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 3)
 }
 
+// KeepAlive has the system ask the other side's for a sign after so many seconds without one, and
+// twice more a second apart; a connection that shows none ends.
+func (c *Conn) KeepAlive(seconds int) error {
+	for option, value := range map[int]int{unix.TCP_KEEPIDLE: seconds, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3} {
+		if err := unix.SetsockoptInt(c.fd, unix.IPPROTO_TCP, option, value); err != nil {
+			return fmt.Errorf("loop: keepalive: %w", err)
+		}
+	}
+	return nil
+}
+
+// Acknowledged is how long ago, in microseconds, the other side's system last gave a sign that it
+// holds the connection; false where the system does not tell.
+func (c *Conn) Acknowledged() (ago int64, ok bool) {
+	if !c.Up() {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil || info.State != tcpEstablished {
+		return 0, false
+	}
+	return int64(info.Last_ack_recv) * 1000, true
+}
+
+// tcpEstablished is the state of a connection that is up, as the system numbers them.
+const tcpEstablished = 1
+
 // Up reports whether the connection is established and not closed.
 func (c *Conn) Up() bool { return c != nil && c.up && !c.closed }
 
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"ravenhitch"
 	"ravenhitch/internal/core"
@@ -50,6 +51,8 @@
 	// maxTries is how often an offer is put on a connection that breaks before the
 	// offer has left; after that the worker counts as not reached.
 	maxTries = 3
+	// keepAliveSlack is how much longer than due the answer to the system's question may take.
+	keepAliveSlack = 1_000_000
 )
 
 var errHalf = fmt.Errorf("%w: it stops short", ErrMessage)
@@ -69,6 +72,9 @@
 	pending []func()                 // outcomes found while the core was acting
 	held    []held                   // offers that wait until their clients are heard
 	sharing *sharing                 // of descriptors, nil where there are enough for all
+	// keepAlive is after how long without a sign the system asks a worker's for one, 0: what the
+	// system sees of a connection proves nothing here.
+	keepAlive time.Duration
 }
 
 // NewNodes returns the links, of which there are none yet; tests says that workers may be
@@ -80,6 +86,10 @@
 // Trace limits the trace to the tags that end in one of the endings; none traces all.
 func (n *Nodes) Trace(endings []string) { n.tracer.Endings = endings }
 
+// KeepAlive makes the system's signs of life prove that a connection is alive, and has it ask for
+// one after so long without. Between here and the workers nothing may answer in their place.
+func (n *Nodes) KeepAlive(after time.Duration) { n.keepAlive = after }
+
 // Use names the core that is told of outcomes.
 func (n *Nodes) Use(c *core.Core) {
 	n.core = c
@@ -118,9 +128,10 @@
 
 // sweep looks at each worker.
 func (n *Nodes) sweep() {
-	held, now := n.core.Held(), n.l.Now()
 	for _, k := range n.sorted() {
-		k.sweep(held[k.id], now)
+		if k.own || len(k.conns) > 0 || len(k.unheard) > 0 || n.core.Holds(k.id) {
+			k.sweep(n.core.Holding(k.id), n.l.Now())
+		}
 	}
 	n.l.After(sweepNodes, n.sweep)
 }
@@ -142,7 +153,7 @@
 	if len(k.conns) == 0 || len(k.conns) >= maxStray {
 		return
 	}
-	if nc := k.conns[len(k.conns)-1]; nc.c.Up() && now-nc.readAt > maxQuiet && k.n.sharing.workersRoom() {
+	if nc := k.conns[len(k.conns)-1]; nc.c.Up() && nc.quiet(now) && k.n.sharing.workersRoom() {
 		k.dial()
 	}
 	k.listen(held, now)
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -109,10 +109,10 @@
 // gatherIdle notes the connections to workers that nothing waits on and where no task
 // stands, the one unused longest first.
 func (n *Nodes) gatherIdle() {
-	s, held := n.sharing, n.core.Held()
+	s := n.sharing
 	s.idle, s.idleAt = s.idle[:0], n.l.Now()
 	for id, k := range n.links {
-		if len(k.conns) == 1 && held[id].Tasks == 0 && k.conns[0].isIdle() {
+		if len(k.conns) == 1 && !n.core.Holds(id) && k.conns[0].isIdle() {
 			s.idle = append(s.idle, k.conns[0])
 		}
 	}
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -51,6 +52,8 @@
 	wasUp  bool
 	dialAt int64
 	usedAt int64 // when it was last asked for, for an offer or a probe
+	// aliveTo is up to when the sign of life that the worker's system gave last holds.
+	aliveTo int64
 }
 
 // start writes an offer, if nothing stands against it by now: its connection may have come
@@ -104,6 +107,32 @@
 	return false
 }
 
+// keepAlive has the system look after the connection, where its signs are proof.
+func (nc *workerConn) keepAlive() {
+	after := nc.k.n.keepAlive
+	if after == 0 {
+		return
+	}
+	if err := nc.c.KeepAlive(int(after / time.Second)); err != nil {
+		nc.k.n.log.Warn("the system does not look after a connection", "node", nc.k.id, "err", err)
+	}
+}
+
+// quiet reports whether the connection may be dead without a sign: nothing came for long, nor did
+// the worker's system give a sign of its own.
+func (nc *workerConn) quiet(now int64) bool {
+	if now-nc.readAt <= maxQuiet || now < nc.aliveTo {
+		return false
+	}
+	if nc.k.n.keepAlive == 0 {
+		return true
+	}
+	if ago, ok := nc.c.Acknowledged(); ok {
+		nc.aliveTo = now - ago + nc.k.n.keepAlive.Microseconds() + keepAliveSlack
+	}
+	return now >= nc.aliveTo
+}
+
 // lost takes the connection off its link and settles what was open on it. What had
 // left this machine whole may have run. What had not never ran: where the
 // connection broke under it, it goes out on another at once, which is not the
@@ -167,6 +196,7 @@
 func (nc *workerConn) Opened(*loop.Conn) {
 	nc.readAt = nc.k.n.l.Now()
 	nc.wasUp, nc.k.openedAt = true, nc.readAt
+	nc.keepAlive()
 	if way := nc.readAt - nc.dialAt; nc.k.wayUs == 0 || way < nc.k.wayUs {
 		nc.k.wayUs = way
 	}
--- a/test/scale/options_test.go
+++ b/test/scale/options_test.go
@@ -17,7 +17,7 @@
 // list changes alone), standing (tasks that run, none of them ending, and nothing else), work (with
 // -parts: starts and ends without list changes) and peak (all). The last line's cpu_control_pct_max is
 // the peak without what messages need over idle. -peers=false plays without membership, -partition=false
-// with all workers at each orchestrator; -failures plays the failures after the peak.
+// with all workers at each orchestrator, -keepalive=0 without the system's signs of life; -failures plays the failures after the peak.
 //
 // This file owns the flags.
 package scale
@@ -37,6 +37,7 @@
 	seedFlag          = flag.Uint64("seed", 7, "draws the demand")
 	listFlag          = flag.Int("list-ms", 1000, "interval of the list's changes, in milliseconds")
 	idleFlag          = flag.Duration("idle", 30*time.Second, "after which a connection without a message is closed; 0: never")
+	keepFlag          = flag.Duration("keepalive", 4*time.Second, "of connections to workers, whole seconds; 0: off")
 	socketsFlag       = flag.Int("sockets", 1024, "descriptors of an orchestrator")
 	fleetSizeFlag     = flag.Int("fleet-size", 0, "orchestrators that the settings tell of, 0: those that run; "+
 		"-starts and -running are of those that run, the others' tasks and list changes are played without them")
@@ -53,6 +54,7 @@
 	workers, orchestrators, running int
 	starts                          float64
 	peak, listEvery, idle           time.Duration
+	keepAlive                       time.Duration
 	seed                            uint64
 	sockets, fleetSize              int
 	samples                         string
@@ -65,7 +67,7 @@
 	o := options{workers: *workersFlag, orchestrators: *orchestratorsFlag, running: *runningFlag, starts: *startsFlag,
 		peak: seconds(*secondsFlag), listEvery: time.Duration(*listFlag) * time.Millisecond, seed: *seedFlag,
 		sockets: *socketsFlag, fleetSize: *fleetSizeFlag, samples: *samplesFlag, peers: *peersFlag, partition: *peersFlag && *dividedFlag, idle: *idleFlag,
-		parts: *partsFlag, failures: *failuresFlag,
+		keepAlive: *keepFlag, parts: *partsFlag, failures: *failuresFlag,
 		failureKinds: strings.Split(*kindsFlag, ",")}
 	if o.fleetSize == 0 {
 		o.fleetSize = o.orchestrators
--- a/test/scale/settings_test.go
+++ b/test/scale/settings_test.go
@@ -70,10 +70,14 @@
 
 // edge is its operators' file: the orchestrators know each other, if that is on.
 func (o *orchestrator) edge() string {
+	text := ""
+	if o.rig.options.keepAlive > 0 {
+		text = fmt.Sprintf("[workers]\nkeepalive %s\n", o.rig.options.keepAlive)
+	}
 	if !o.rig.options.peers {
-		return ""
+		return text
 	}
-	text := fmt.Sprintf("[peers]\nlisten %s\ncluster scale\n", o.peers())
+	text += fmt.Sprintf("[peers]\nlisten %s\ncluster scale\n", o.peers())
 	for _, other := range o.rig.orchestrators {
 		if other != o {
 			text += fmt.Sprintf("member %s %s\n", other.Name, other.peers())
