Tell a handler that its writes went out also at the end of the turn that held them back

Seen: nothing left in the connection and no event to come. Ruled out: the lane's outbox, the relay. Lines: Conn.flush clears EPOLLOUT once it has written all; where Push met a full system and the other side read on before the turn ended, flushAll wrote the rest, and only the event calls Drained.

Change: flushAll tells the handler too, where the system had refused some.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -33,6 +33,7 @@
 	up      bool // established
 	closed  bool
 	dirty   bool // has bytes that this turn will try to write
+	behind  bool // the system did not take all at once, and the Handler waits for it
 	mask    uint32
 	taken   int64 // bytes handed to Write
 	given   int64 // bytes that the system has accepted
@@ -257,6 +258,7 @@
 			if len(c.out) > c.l.outMost {
 				return ErrOverflow
 			}
+			c.behind = true
 			c.arm()
 			return nil
 		default:
@@ -304,9 +306,18 @@
 			c.fail(err)
 			return
 		}
-		if d, ok := c.h.(Drainer); ok && !c.closed && len(c.out) == 0 {
-			d.Drained(c)
-		}
+		c.drained()
+	}
+}
+
+// drained tells the Handler that nothing is left of what the system had not taken at once.
+func (c *Conn) drained() {
+	if c.closed || len(c.out) > 0 {
+		return
+	}
+	c.behind = false
+	if d, ok := c.h.(Drainer); ok {
+		d.Drained(c)
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -200,6 +200,10 @@
 		}
 		if err := c.flush(); err != nil {
 			c.fail(err)
+			continue
+		}
+		if c.behind { // the other side read on within the turn: no event will tell
+			c.drained()
 		}
 	}
 	l.dirty = l.dirty[:0]
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -362,3 +362,47 @@
 		t.Errorf("%d bytes, then %v", n, err)
 	}
 }
+
+// bulk notes when it is told to go on.
+type bulk struct{ opened, drained chan struct{} }
+
+const bulkPart = 64 << 10
+
+func (b *bulk) Opened(*Conn)                         { b.opened <- struct{}{} }
+func (b *bulk) Data(_ *Conn, in []byte) (int, error) { return len(in), nil }
+func (b *bulk) Closed(*Conn, error)                  {}
+func (b *bulk) Drained(*Conn)                        { b.drained <- struct{}{} }
+
+// A connection whose other side reads on before the end of the turn is written to then, and its
+// handler told, as no event comes any more.
+func TestDrainedWithinTheTurn(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	b := &bulk{opened: make(chan struct{}, 1), drained: make(chan struct{}, 10)}
+	l, on := run(t, 10)
+	var written *Conn
+	on(func() {
+		if written, err = l.Dial(ln.Addr().String(), 1_000_000, b); err != nil {
+			t.Error(err)
+		}
+	})
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	standin.Wait(t, "the connection", b.opened)
+	standin.Wait(t, "the first turn's word", b.drained)
+	on(func() {
+		for written.Write(make([]byte, bulkPart)); written.Push(); {
+			written.Write(make([]byte, bulkPart))
+		}
+		if _, err := io.CopyN(io.Discard, c, 16*bulkPart); err != nil { // before the end of the turn
+			t.Error(err)
+		}
+	})
+	standin.Wait(t, "the word that the system has taken all", b.drained)
+}
