Tell ends of tasks whose worker restarted unseen, or told the end before the hand-in

Now a listed start ends what stood there a second before it and earlier, once no connection is left that was opened before it (worker_link.go takeStart, core NodeRestarted).

TestNodeRestarted, TestListedStartEndsTasks, TestEndBeforeHandIn, TestUnclaimedEndsAreBounded, TestConnectionsToOwnWorkers, TestQuietConnection.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,13 +67,15 @@
 	attempts int
 	copy     int // the number of the attempt that is out or stands
 	sentAt   int64
+	foundAt  int64 // when it was handed in as standing, or 0
 	abandon  int64
 	node     string
 	mayRun   bool              // an attempt may have started
 	ran      ran               // the first that may have
-	endAs    ravenhitch.Status // ending: what becomes of the attempt
-	reply    string            // the tag that the owner knows it by
-	binding  string            // what the node gave
+	endAs    ravenhitch.Status // ending: what becomes of the attempt; standing and due: of the task
+	endWhy   ravenhitch.Why
+	reply    string // the tag that the owner knows it by
+	binding  string // what the node gave
 	lostAt   int64
 	due      int64 // when the core itself acts, or 0
 	index    int   // in the heap
@@ -98,38 +100,39 @@
 // Core is the request table round one decision module. It is not safe for
 // concurrent use.
 type Core struct {
-	placer   *ravenhitch.Placer
-	set      ravenhitch.Settings
-	effects  map[string]ravenhitch.Effect
-	nodes    Nodes
-	log      *slog.Logger
-	now      int64
-	reqs     map[string]*request
-	keys     map[string]*request // the latest live request of each task
-	alias    map[string]*request // further tags of resumed requests
-	silent   map[string]*request // released, and of their end nothing is known
-	holdings holdings
-	past     map[string]Answer // final words on set-ups that may be repeated
-	pastAge  []string
-	due      dues
-	bells    bells
-	events   []ravenhitch.Event
-	told     map[string]int64 // when a node was told to drain or to be gone
-	listed   map[string]bool
-	channel  bool // the list is followed
-	observe  bool // the module waits for the list
-	advisor  Advisor
-	classes  map[string]int
-	held     []float64 // units that wait for room, by class
-	waits    int       // requests that do
-	after    []float64 // the same after the actions of a turn; kept for its room
-	pressed  pressure
-	spread   spread
-	sweepAt  int64
-	counts   Counts
-	ends     map[string]Ends // by class
-	roster   roster
-	tracer   Tracer
+	placer    *ravenhitch.Placer
+	set       ravenhitch.Settings
+	effects   map[string]ravenhitch.Effect
+	nodes     Nodes
+	log       *slog.Logger
+	now       int64
+	reqs      map[string]*request
+	keys      map[string]*request // the latest live request of each task
+	alias     map[string]*request // further tags of resumed requests
+	silent    map[string]*request // released, and of their end nothing is known
+	holdings  holdings
+	unclaimed unclaimedEnds     // of tasks that are not known
+	past      map[string]Answer // final words on set-ups that may be repeated
+	pastAge   []string
+	due       dues
+	bells     bells
+	events    []ravenhitch.Event
+	told      map[string]int64 // when a node was told to drain or to be gone
+	listed    map[string]bool
+	channel   bool // the list is followed
+	observe   bool // the module waits for the list
+	advisor   Advisor
+	classes   map[string]int
+	held      []float64 // units that wait for room, by class
+	waits     int       // requests that do
+	after     []float64 // the same after the actions of a turn; kept for its room
+	pressed   pressure
+	spread    spread
+	sweepAt   int64
+	counts    Counts
+	ends      map[string]Ends // by class
+	roster    roster
+	tracer    Tracer
 }
 
 // New returns a core that decides with a new module.
@@ -140,7 +143,7 @@
 	}
 	c := &Core{placer: p, set: s, effects: map[string]ravenhitch.Effect{}, nodes: nodes, log: log,
 		reqs: map[string]*request{}, keys: map[string]*request{}, alias: map[string]*request{},
-		silent: map[string]*request{}, holdings: holdings{}, past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
+		silent: map[string]*request{}, holdings: holdings{}, unclaimed: unclaimedEnds{byTag: map[string]unclaimedEnd{}}, past: map[string]Answer{}, told: map[string]int64{}, listed: map[string]bool{},
 		advisor: storm.New(StormSettings(s), seed), classes: map[string]int{}, held: make([]float64, len(s.Classes)),
 		tracer: Tracer{Log: log}, ends: map[string]Ends{},
 		roster: roster{last: map[string]ravenhitch.Entry{}, out: map[string]bool{}, back: map[string]bool{}}}
--- a/internal/core/holdings.go
+++ b/internal/core/holdings.go
@@ -3,10 +3,7 @@
 // This file keeps which requests take room at which node: those that stand, that are being ended,
 // and that were set aside since the node is silent. It must never decide what becomes of them.
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 // holdings are the requests at each node, in no order.
 type holdings map[string][]*request
@@ -63,6 +60,5 @@
 			}
 		}
 	}
-	slices.SortFunc(found, func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
-	return found
+	return byTag(found)
 }
--- /dev/null
+++ b/internal/core/holdings_test.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"ravenhitch"
+)
+
+// handIn hands in a task that stands at a node.
+func (b *bench) handIn(tag, node string) {
+	b.stands[tag] = node
+	s := Setup{Tag: tag, Class: "web", Key: "k" + tag, WaitUs: 1000 * ms, Cores: 2, Mem: 4, At: node}
+	if err := b.Submit(b.now, b, s); err != nil {
+		b.t.Fatalf("%v", err)
+	}
+}
+
+// overs are the tags whose ends were told.
+func (b *bench) overs() (tags string) {
+	for _, a := range b.told {
+		if a.Kind == Over {
+			tags += a.Tag + " "
+		}
+	}
+	return tags
+}
+
+// A process that began after a task was offered, or handed in, does not run it: its end is told. What
+// was offered since, or as good as then, stands on.
+func TestNodeRestarted(t *testing.T) {
+	b := newBench(t)
+	b.list(ravenhitch.ListFull, ravenhitch.Ready, "a")
+	place := func(tag string) {
+		b.submit(tag, "web", "k"+tag, 5000)
+		b.pass(10 * ms)
+		b.started(tag)
+	}
+	place("offered")
+	b.handIn("found", "a")
+	place("released")
+	b.Withdraw(b.now, b, "released")
+	delete(b.stands, "released")
+	b.pass(5000 * ms)
+	if !b.Leaves("released") {
+		t.Fatal("the released task is not set aside")
+	}
+	place("justbefore")
+	start := b.now + 500*ms
+	b.pass(3000 * ms)
+	place("after")
+	b.NodeRestarted(b.now, "other", start)
+	if b.overs() != "" {
+		t.Errorf("another node's start ended %q", b.overs())
+	}
+	b.NodeRestarted(b.now, "a", start)
+	if b.overs() != "found offered " || b.Leaves("released") {
+		t.Errorf("ends told: %q, released task still held %v", b.overs(), b.Leaves("released"))
+	}
+	if !b.Stands("justbefore") || !b.Stands("after") || b.Holding("a").Tasks != 2 {
+		t.Errorf("%d tasks stand, expected 2", b.Holding("a").Tasks)
+	}
+}
+
+// An end that a node told before the task was handed in is told to its client, but where the client
+// itself asked for it.
+func TestEndBeforeHandIn(t *testing.T) {
+	for name, c := range map[string]struct {
+		node   string
+		status ravenhitch.Status
+		after  int64
+		over   bool
+	}{
+		"it ended":               {"a", ravenhitch.OK, 0, true},
+		"it was cut":             {"a", ravenhitch.Reset, 1000 * ms, true},
+		"it was cancelled":       {"a", ravenhitch.Cancelled, 59_000 * ms, true},
+		"long ago":               {"a", ravenhitch.OK, 61_000 * ms, false},
+		"at another node":        {"b", ravenhitch.OK, 0, false},
+		"an attempt that failed": {"a", ravenhitch.Failed, 0, false},
+	} {
+		b := newBench(t)
+		b.list(ravenhitch.ListFull, ravenhitch.Ready, "a", "b")
+		b.NodeEndedUnclaimed(b.now, c.node, "t1", c.status, 0)
+		b.NodeEndedUnclaimed(b.now, "b", "t1", ravenhitch.OK, 0) // the first word counts
+		b.pass(c.after)
+		b.handIn("t1", "a")
+		b.handIn("t2", "a")
+		b.pass(100 * ms)
+		if told := b.overs() == "t1 "; told != (c.over && c.status != ravenhitch.Cancelled) || !b.Stands("t2") {
+			t.Errorf("%s: told %q", name, b.overs())
+		}
+		if len(b.told) > 0 && b.told[0].Status != c.status {
+			t.Errorf("%s: told as %v", name, b.told[0].Status)
+		}
+		if b.Stands("t1") == c.over {
+			t.Errorf("%s: the task stands: %v", name, b.Stands("t1"))
+		}
+	}
+}
+
+// Ends that nobody claims fill no memory.
+func TestUnclaimedEndsAreBounded(t *testing.T) {
+	b := newBench(t)
+	for i := range 3 * unclaimedMost {
+		b.NodeEndedUnclaimed(b.now, "a", fmt.Sprint("t", i), ravenhitch.OK, 0)
+	}
+	u := &b.unclaimed
+	if len(u.byTag) != unclaimedMost || len(u.tags) != unclaimedMost || u.tags[0] != fmt.Sprint("t", 2*unclaimedMost) {
+		t.Errorf("%d ends, %d tags from %s on", len(u.byTag), len(u.tags), u.tags[0])
+	}
+	b.NodeEndedUnclaimed(b.now+unclaimedFor+1, "a", "last", ravenhitch.OK, 0)
+	if len(u.byTag) != 1 || len(u.tags) != 1 {
+		t.Errorf("%d ends are left of what is too old", len(u.byTag)-1)
+	}
+}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -174,15 +174,40 @@
 // is cut, and nobody will tell.
 func (c *Core) NodeLost(now int64, node string) {
 	c.now = now
-	for _, r := range c.sorted() {
-		if r.node == node && (r.state == standing || r.state == leaving) {
-			c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
+	c.cut(node, func(*request) bool { return true })
+}
+
+// restartSkew is by how much the clock that tells of a node's start may be ahead of this one, and of
+// a task that was offered then.
+const restartSkew = 1_000_000
+
+// NodeRestarted takes it that the process of a node began at startUs and that nothing of the one
+// before is left: what stood there earlier is cut, and nobody will tell.
+func (c *Core) NodeRestarted(now int64, node string, startUs int64) {
+	c.now = now
+	c.cut(node, func(r *request) bool { return r.stoodAt() < startUs-restartSkew })
+}
+
+// stoodAt is from when on a task may have stood: its offer, or when it was handed in as standing.
+func (r *request) stoodAt() int64 { return max(r.sentAt, r.foundAt) }
+
+// cut ends tasks at a node: first those that stand, then those that were set aside, by tag each.
+func (c *Core) cut(node string, which func(*request) bool) {
+	var standing, aside []*request
+	for _, r := range c.holdings[node] {
+		switch {
+		case !which(r):
+		case r.state.holds():
+			standing = append(standing, r)
+		default:
+			aside = append(aside, r)
 		}
 	}
-	for _, r := range c.aside() {
-		if r.node == node {
-			c.heard(r, ravenhitch.Reset, ravenhitch.WhyUntold)
-		}
+	for _, r := range byTag(standing) {
+		c.over(r, ravenhitch.Reset, ravenhitch.WhyUntold)
+	}
+	for _, r := range byTag(aside) {
+		c.heard(r, ravenhitch.Reset, ravenhitch.WhyUntold)
 	}
 }
 
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -123,13 +123,14 @@
 		Class: s.Class, Program: s.Service, Tenant: s.Tenant, LastsUs: s.HintUs, Hinted: s.HintUs > 0, Again: s.Again}
 	if s.At != "" {
 		c.counts.Opened++
-		r.node, r.mayRun = s.At, true
+		r.node, r.mayRun, r.foundAt = s.At, true, now
 		c.to(r, standing)
 		c.advisor.Adopted(now, r.caller())
 		if !c.listed[s.At] {
 			r.lostAt = now - (orphanAfter - openAfter)
 		}
 		c.event(ravenhitch.Existing{Task: task, Machine: s.At})
+		c.claim(r)
 		return nil
 	}
 	c.counts.Requests++
@@ -242,6 +243,9 @@
 	return r != nil && r.state == leaving || c.silent[tag] != nil
 }
 
+// Knows reports whether a tag names a request, or a task whose end is still to be told.
+func (c *Core) Knows(tag string) bool { return c.find(tag) != nil || c.silent[tag] != nil }
+
 // Listed reports whether a node is on the list.
 func (c *Core) Listed(node string) bool { return c.listed[node] }
 
--- a/internal/core/queue.go
+++ b/internal/core/queue.go
@@ -70,6 +70,10 @@
 
 // sorted lists the requests by tag, so that the same happenings give the same
 // actions.
-func (c *Core) sorted() []*request {
-	return slices.SortedFunc(maps.Values(c.reqs), func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
+func (c *Core) sorted() []*request { return byTag(slices.Collect(maps.Values(c.reqs))) }
+
+// byTag sorts requests.
+func byTag(requests []*request) []*request {
+	slices.SortFunc(requests, func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
+	return requests
 }
--- a/internal/core/silent.go
+++ b/internal/core/silent.go
@@ -5,7 +5,6 @@
 // count for the spread, until the end is known. It must never answer an owner.
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -44,6 +43,4 @@
 }
 
 // aside lists what was set aside by tag, so that the same happenings give the same actions.
-func (c *Core) aside() []*request {
-	return slices.SortedFunc(maps.Values(c.silent), func(a, b *request) int { return cmp.Compare(a.Tag, b.Tag) })
-}
+func (c *Core) aside() []*request { return byTag(slices.Collect(maps.Values(c.silent))) }
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -80,6 +80,8 @@
 		c.log.Warn("the module left a request to its deadline", "tag", r.Tag, "class", r.Class)
 		c.event(ravenhitch.ClientGone{Ticket: r.Tag})
 		c.finish(r)
+	case standing:
+		c.over(r, r.endAs, r.endWhy)
 	case leaving:
 		c.nodes.Release(r.node, r.Tag)
 		c.silence(r)
--- /dev/null
+++ b/internal/core/unclaimed.go
@@ -0,0 +1,69 @@
+package core
+
+// This file remembers ends that nodes told of tasks which are not known here. A client hands a
+// task in as standing after the orchestrator that held it has gone, and a node tells its end on any
+// connection meanwhile, once: an end that comes first would leave the task standing for ever. It must
+// never end what a node did not name by its tag.
+
+import "ravenhitch"
+
+const (
+	// unclaimedFor is how long such an end is remembered: longer than clients take to notice that
+	// an orchestrator is gone.
+	unclaimedFor = 60_000_000
+	// unclaimedMost bounds them: the oldest make room.
+	unclaimedMost = 4096
+)
+
+// unclaimedEnd is the end of a task that nobody has handed in.
+type unclaimedEnd struct {
+	node   string
+	status ravenhitch.Status
+	why    ravenhitch.Why
+	at     int64
+}
+
+// unclaimedEnds are such ends by tag.
+type unclaimedEnds struct {
+	byTag map[string]unclaimedEnd
+	tags  []string // oldest first
+}
+
+// NodeEndedUnclaimed takes a node's word that a task has ended which is not known here.
+func (c *Core) NodeEndedUnclaimed(now int64, node, tag string, st ravenhitch.Status, why ravenhitch.Why) {
+	switch st {
+	case ravenhitch.OK, ravenhitch.Cancelled, ravenhitch.Reset:
+		c.unclaimed.add(tag, unclaimedEnd{node, st, why, now})
+	}
+}
+
+func (u *unclaimedEnds) add(tag string, e unclaimedEnd) {
+	if _, there := u.byTag[tag]; there {
+		return
+	}
+	u.forget(e.at)
+	u.byTag[tag] = e
+	u.tags = append(u.tags, tag)
+}
+
+// forget lets go of what is too old, and of the oldest where there are too many.
+func (u *unclaimedEnds) forget(now int64) {
+	n := 0
+	for n < len(u.tags) && (len(u.tags)-n >= unclaimedMost || now-u.byTag[u.tags[n]].at > unclaimedFor) {
+		delete(u.byTag, u.tags[n])
+		n++
+	}
+	u.tags = u.tags[n:]
+}
+
+// claim ends a task that was handed in as standing, at the next turn, where its node has told its end
+// before.
+func (c *Core) claim(r *request) {
+	e, ok := c.unclaimed.byTag[r.Tag]
+	if !ok || e.node != r.node || c.now-e.at > unclaimedFor {
+		return
+	}
+	c.log.Info("a task was handed in whose end was told before", "tag", r.Tag, "node", r.node)
+	r.endAs, r.endWhy = e.status, e.why
+	c.arm(r, c.now+1)
+}
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -97,6 +97,7 @@
 		}
 		for _, m := range ev.Members {
 			ch.nodes.Update(m.Machine, m.Addr, m.State != ravenhitch.Gone)
+			ch.nodes.Started(m.Machine, m.StartUs)
 		}
 		if !known {
 			kind := ravenhitch.ListDelta
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -144,6 +144,7 @@
 	if len(k.unheard) > 0 {
 		maps.DeleteFunc(k.unheard, func(_ string, at int64) bool { return now-at > unheardFor })
 	}
+	k.takeStart()
 	if held.Tasks == 0 {
 		k.ensure() // where there was no room before
 		k.part()
@@ -239,6 +240,14 @@
 	})
 }
 
+// Started takes when the process of a worker began, as the channel tells.
+func (n *Nodes) Started(id string, at int64) {
+	if k := n.links[id]; k != nil && at > k.startedAt {
+		k.startedAt, k.restarted = at, true
+		k.takeStart()
+	}
+}
+
 // Reset forgets the workers that a whole list did not name.
 func (n *Nodes) Reset(named map[string]bool) {
 	for _, k := range n.sorted() {
--- a/internal/platform/worker_link.go
+++ b/internal/platform/worker_link.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"golang.org/x/sys/unix"
 
@@ -19,12 +20,16 @@
 	id     string
 	addr   string
 	listed bool
-	own    bool          // this orchestrator places tasks there
-	conns  []*workerConn // the last one takes new offers
-	wait   int64         // before the next dial
-	redial *loop.Timer
-	broke  bool // a connection was reset; a refused one now proves the death
-	failed bool // a connection failed or fell silent, and none came up since
+	own    bool // this orchestrator places tasks there
+	// startedAt is when the list says that the process of the worker began, 0 for long ago, and
+	// restarted that this was not yet held against what stood there.
+	startedAt int64
+	restarted bool
+	conns     []*workerConn // the last one takes new offers
+	wait      int64         // before the next dial
+	redial    *loop.Timer
+	broke     bool // a connection was reset; a refused one now proves the death
+	failed    bool // a connection failed or fell silent, and none came up since
 
 	// refusedAt is since when connections were refused while nothing came, or 0.
 	refusedAt int64
@@ -81,6 +86,19 @@
 	}
 }
 
+// takeStart holds a new start of the worker against what stood there before, once no connection
+// is left that was opened before it: where one is, the process lives that held it, whatever the list
+// says. A worker that dies and starts while it has no connection shows neither a reset nor, if it is
+// quick, refused connections for long.
+func (k *link) takeStart() {
+	older := func(nc *workerConn) bool { return nc.c.Up() && nc.dialAt < k.startedAt }
+	if !k.restarted || slices.ContainsFunc(k.conns, older) {
+		return
+	}
+	k.restarted = false
+	k.n.core.NodeRestarted(k.n.l.Now(), k.id, k.startedAt)
+}
+
 // part closes the connection to a worker of another orchestrator that nothing waits on. No task
 // stands there.
 func (k *link) part() {
--- /dev/null
+++ b/internal/platform/worker_link_test.go
@@ -0,0 +1,152 @@
+package platform
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"ravenhitch"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/loop"
+)
+
+// linkBench is a worker's listener, and the connections of an orchestrator to it.
+type linkBench struct {
+	t    *testing.T
+	ln   net.Listener
+	l    *loop.Loop
+	n    *Nodes
+	core *core.Core
+}
+
+func newLinkBench(t *testing.T) *linkBench {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	b := &linkBench{t: t, ln: ln}
+	b.l, b.n, b.core = newNodes(t)
+	t.Cleanup(b.l.Close)
+	b.core.List(b.l.Now(), ravenhitch.List{Kind: ravenhitch.ListFull, Entries: []ravenhitch.Entry{{Machine: "a", Kind: "std"}}})
+	return b
+}
+
+// until runs the loop until a condition holds; once in a test.
+func (b *linkBench) until(condition func() bool) {
+	b.t.Helper()
+	limit := b.l.After(10_000_000, b.l.Stop)
+	met := false
+	err := b.l.Run(func(now int64) {
+		b.n.Gather()
+		b.core.Turn(now)
+		if met = condition(); met {
+			b.l.Stop()
+		}
+	})
+	limit.Stop()
+	if err != nil || !met {
+		b.t.Fatalf("it did not come: %v", err)
+	}
+}
+
+// stands hands in a task that stands at the worker.
+func (b *linkBench) stands(tag string) {
+	b.t.Helper()
+	s := core.Setup{Tag: tag, Class: "cut", Key: "k" + tag, WaitUs: 1_000_000, Cores: 1, Mem: 1, At: "a"}
+	if err := b.core.Submit(b.l.Now(), discard{}, s); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// discard is an owner that reads nothing.
+type discard struct{}
+
+func (discard) Answer(core.Answer) {}
+
+// later is a start of the worker's process after all that happened so far.
+func (b *linkBench) later() int64 { return b.l.Now() + 60*time.Second.Microseconds() }
+
+// A new start on the list ends what stood at a worker where no connection is older than it.
+func TestListedStartEndsTasks(t *testing.T) {
+	b := newLinkBench(t)
+	b.n.Update("a", b.ln.Addr().String(), true)
+	b.n.Started("a", 0)
+	b.stands("t1")
+	k := b.n.links["a"]
+	b.until(func() bool { return k.conns[0].c.Up() })
+	b.n.Started("a", b.later())
+	if !b.core.Stands("t1") {
+		t.Fatal("a start on the list ended a task though a connection is there that was opened before it")
+	}
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if !b.core.Stands("t1") {
+		t.Fatal("the look at all workers ended it")
+	}
+	k.closeAll()
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if b.core.Stands("t1") {
+		t.Error("the task stands on though no connection is left from before the start")
+	}
+	b.stands("t2")
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	b.n.Started("a", k.startedAt) // told again
+	if !b.core.Stands("t2") {
+		t.Error("one start was held against a task twice")
+	}
+}
+
+// Connections are kept to the workers of this orchestrator, and to others while tasks stand there.
+func TestConnectionsToOwnWorkers(t *testing.T) {
+	b := newLinkBench(t)
+	own := false
+	b.n.Own(func(string) bool { return own })
+	b.n.Update("a", b.ln.Addr().String(), true)
+	k := b.n.links["a"]
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if len(k.conns) != 0 {
+		t.Fatal("a worker of another orchestrator was dialled for nothing")
+	}
+	b.stands("t1")
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if len(k.conns) != 1 {
+		t.Fatal("a worker was not dialled where a task stands")
+	}
+	b.until(func() bool { return k.conns[0].c.Up() })
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if len(k.conns) != 1 {
+		t.Fatal("the connection was closed under a task")
+	}
+	b.core.NodeEnded(b.l.Now(), "a", "t1", ravenhitch.OK, 0)
+	k.sweep(b.core.Holding("a"), b.l.Now())
+	if len(k.conns) != 0 {
+		t.Fatal("the connection to a worker of another orchestrator stays though nothing stands there")
+	}
+	own = true
+	b.n.Own(func(string) bool { return own })
+	if len(k.conns) != 1 {
+		t.Error("a worker was not dialled as it came to this orchestrator")
+	}
+}
+
+// What the system knows of a connection keeps it from being doubted, where that is set.
+func TestQuietConnection(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * time.Second} {
+		b := newLinkBench(t)
+		b.n.KeepAlive(after)
+		b.n.Update("a", b.ln.Addr().String(), true)
+		nc := b.n.links["a"].conns[0]
+		b.until(func() bool { return nc.c.Up() })
+		if nc.quiet(b.l.Now() + maxQuiet) {
+			t.Errorf("keepalive %s: quiet before its time", after)
+		}
+		if quiet := nc.quiet(b.l.Now() + maxQuiet + 1); quiet != (after == 0) {
+			t.Errorf("keepalive %s: quiet %v", after, quiet)
+		}
+		nc.c.Close()
+		if !nc.quiet(b.l.Now() + 60*time.Second.Microseconds()) {
+			t.Errorf("keepalive %s: a connection without a sign is not doubted", after)
+		}
+	}
+}
--- a/internal/platform/worker_message.go
+++ b/internal/platform/worker_message.go
@@ -47,6 +47,8 @@
 			nc.k.prune()
 		} else if st != ravenhitch.Full && st != ravenhitch.Moot && (n.core.Stands(m.Tag) || n.core.Leaves(m.Tag)) {
 			n.core.NodeEnded(now, id, m.Tag, st, whys[m.Opt("note")])
+		} else if !n.core.Knows(m.Tag) {
+			n.core.NodeEndedUnclaimed(now, id, m.Tag, st, whys[m.Opt("note")])
 		}
 	case verbNotice:
 		v, err := strconv.ParseFloat(m.Opt("value"), 64)
