--- a/test/scale/ledger_test.go
+++ b/test/scale/ledger_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -317,6 +318,24 @@
 	return c
 }
 
+// untoldListed bounds the ends that are named one by one.
+const untoldListed = 12
+
+// untold names ends that no client was told of in time.
+func (l *ledger) untold() (lines []string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for tag, at := range l.ended {
+		r := l.requests[tag]
+		if r == nil || time.Since(at) <= endLimit || len(lines) == untoldListed {
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("tag %s of %s, held by %s, standing %v, lost with its worker %v, over since %s", tag, r.task.worker,
+			r.orchestrator.Name, r.task.standing, l.lost[tag], at.Format(time.RFC3339Nano)))
+	}
+	return lines
+}
+
 // close stops the checks.
 func (l *ledger) close() {
 	l.mutex.Lock()
--- a/test/scale/scale_test.go
+++ b/test/scale/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -45,6 +46,7 @@
 		checkRules(t, "after the failures", r.ledger.now())
 	}
 	r.logFindings()
+	r.writeLogs()
 	if err := s.close(); err != nil {
 		t.Error(err)
 	}
@@ -158,10 +160,26 @@
 		res.p50, res.p99, res.counts.urgentLate, res.counts.unanswered, res.counts.rulesBroken(), slowest)
 }
 
+// writeLogs writes the orchestrators' logs, where that is asked for.
+func (r *rig) writeLogs() {
+	if r.options.logs == "" {
+		return
+	}
+	for _, o := range r.orchestrators {
+		text := strings.Join(o.Lines(), "\n") + "\n"
+		if err := os.WriteFile(filepath.Join(r.options.logs, o.Name+".log"), []byte(text), 0o600); err != nil {
+			r.t.Error(err)
+		}
+	}
+}
+
 // logFindings tells the counts of clients and what the orchestrators warned of.
 func (r *rig) logFindings() {
 	r.t.Logf("scale-counts: %+v worker_refusals=%d list_entries=%d unaccepted=%d", r.ledger.now(), r.fleet.Refusals(), r.source.Told(),
 		r.fleet.Unaccepted())
+	for _, line := range r.ledger.untold() {
+		r.t.Log("scale-untold: " + line)
+	}
 	for _, o := range r.orchestrators {
 		if count, first := o.warnings(); len(count) > 0 {
 			r.t.Logf("scale-log: %s %v, first:\n%s", o.Name, count, strings.Join(first, "\n"))
--- a/test/scale/settings_test.go
+++ b/test/scale/settings_test.go
@@ -74,6 +74,9 @@
 	if o.rig.options.keepAlive > 0 {
 		text = fmt.Sprintf("[workers]\nkeepalive %s\n", o.rig.options.keepAlive)
 	}
+	if o.rig.options.logs != "" {
+		text += "[log]\nlevel debug\n"
+	}
 	if !o.rig.options.peers {
 		return text
 	}
