Divide workers within regions, so that a region's cut moves no worker

Cause: the operators' regions lose each other for an hour now and then. With shards of the whole fleet a cut-off region's two orchestrators would have taken all 4,000 workers, and dialled those behind the cut every 2 s until it healed (by reading; not run).

Change: 16 shards a zone; a zone's shards are divided among the members of its region (`region NAME ZONES` in [peers], the members' zones as a third word of `member`). Nobody takes over another region's workers. Calls name the shards by zone, 14 bytes a zone; zones that are not named are told whole.

--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -50,6 +50,10 @@
 	// Partition divides the workers among the orchestrators that are there: each places tasks at
 	// its own alone, and asks the command channel for the room of these.
 	Partition bool
+	// Regions are the regions of zones: their workers are divided among the orchestrators there.
+	Regions map[string]string
+	// Where the file says partition and region first, and the first member without a zone.
+	partitionAt, regionAt, zonelessAt *Word
 }
 
 // Workers says how connections to workers are looked after.
@@ -59,8 +63,9 @@
 	KeepAlive time.Duration
 }
 
-// PeerAddress is where another orchestrator is reached from here.
-type PeerAddress struct{ Name, Address string }
+// PeerAddress is where another orchestrator is reached from here, and its zone, "" where that is
+// not said.
+type PeerAddress struct{ Name, Address, Zone string }
 
 // Storm says what advice goes with refusals.
 type Storm struct {
@@ -86,7 +91,7 @@
 }
 
 // repeated are the directives that may stand more than once.
-var repeated = map[string]bool{"member": true}
+var repeated = map[string]bool{"member": true, "region": true}
 
 // directives are the sections and what each directive in them sets.
 type directives map[string]map[string]setter
@@ -132,6 +137,7 @@
 			"hall":      word(&e.Peers.Hall, "a name of 1 to 64 bytes", isPeerName),
 			"folder":    word(&e.Peers.Folder, "the absolute path of a folder", isAbsolute),
 			"member":    e.Peers.member,
+			"region":    e.Peers.region,
 			"partition": e.Peers.partition,
 		},
 		"workers": {
@@ -153,8 +159,18 @@
 	if (e.Peers.Listen == "") != (e.Peers.Cluster == "") {
 		return fmt.Errorf("%s: [peers]: expected both listen and cluster, or neither", file)
 	}
-	if e.Peers.Partition && e.Peers.Listen == "" {
-		return fmt.Errorf("%s: [peers]: partition on needs listen and cluster: the workers are divided among the members", file)
+	return e.Peers.whole()
+}
+
+// whole checks what several directives of a partition must say together.
+func (p *Peers) whole() error {
+	switch {
+	case p.Partition && p.Listen == "":
+		return p.partitionAt.Wrong("listen and cluster beside partition on, as the workers are divided among the members")
+	case p.regionAt != nil && !p.Partition:
+		return p.regionAt.Wrong("partition on beside region")
+	case p.regionAt != nil && p.zonelessAt != nil:
+		return p.zonelessAt.Wrong("a name, address:port and the zone, as regions are named")
 	}
 	return nil
 }
@@ -235,10 +251,14 @@
 	return err
 }
 
-// member takes the name of another orchestrator and where it is reached.
+// member takes the name of another orchestrator, where it is reached, and perhaps its zone.
 func (p *Peers) member(d Directive) error {
-	const want = "a name and address:port"
-	if err := d.args(2, want); err != nil {
+	const want = "a name and address:port, and its zone where regions are named"
+	if err := d.args(min(3, max(2, len(d.Args))), want); err != nil {
+		return err
+	}
+	zone, err := p.memberZone(d)
+	if err != nil {
 		return err
 	}
 	if !isPeerName(d.Args[0].Text) {
@@ -252,14 +272,49 @@
 			return d.Args[0].Wrong("each member once")
 		}
 	}
-	p.Members = append(p.Members, PeerAddress{d.Args[0].Text, d.Args[1].Text})
+	p.Members = append(p.Members, PeerAddress{d.Args[0].Text, d.Args[1].Text, zone})
+	return nil
+}
+
+// memberZone is the third word of a member's line, if there is one.
+func (p *Peers) memberZone(d Directive) (string, error) {
+	if len(d.Args) < 3 {
+		if p.zonelessAt == nil {
+			p.zonelessAt = &d.Args[0]
+		}
+		return "", nil
+	}
+	zone := d.Args[2]
+	if !isPeerName(zone.Text) {
+		return "", zone.Wrong("a zone of 1 to 64 bytes")
+	}
+	return zone.Text, nil
+}
+
+// region takes the name of a region and its zones.
+func (p *Peers) region(d Directive) error {
+	if len(d.Args) < 2 {
+		return d.Name.Wrong("region followed by its name and its zones")
+	}
+	if p.Regions == nil {
+		p.Regions, p.regionAt = map[string]string{}, &d.Name
+	}
+	for _, zone := range d.Args[1:] {
+		if !isPeerName(zone.Text) {
+			return zone.Wrong("a zone of 1 to 64 bytes")
+		}
+		if p.Regions[zone.Text] != "" {
+			return zone.Wrong("each zone in one region")
+		}
+		p.Regions[zone.Text] = d.Args[0].Text
+	}
 	return nil
 }
 
 // partition takes whether the workers are divided among the members.
 func (p *Peers) partition(d Directive) error {
 	v, err := d.OneOf("on", "off")
-	p.Partition = v == "on"
+	p.Partition, p.partitionAt = v == "on", &d.Name
 	return err
 }
 
--- a/internal/config/platform_test.go
+++ b/internal/config/platform_test.go
@@ -128,7 +128,7 @@
 	}
 	for _, x := range []struct{ text, want string }{
 		{"listen 127.0.0.1:1", "x:1:1: expected a section"},
-		{"[grcp]", "x:1:2: expected a section of collectd, graphite, grpc, log, peers, storm"},
+		{"[grcp]", "x:1:2: expected a section of collectd, graphite, grpc, log, peers, storm, workers"},
 		{"[log]\nlevel loud", "x:2:7: expected info or debug"},
 		{"[log]\ntrace", "x:2:1: expected trace followed by endings of tags, in hex digits"},
 		{"[log]\ntrace 42ac8bZ6", "x:2:7: expected an ending of a tag: 1 to 16 hex digits in lower case"},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 
 	"golang.org/x/sys/unix"
@@ -62,8 +63,8 @@
 	carriers map[lane]*inboundConn
 	takes    map[Kind]func(from string, b []byte)
 	room     func(to string, k Kind)
-	viewed   func(membership.View) // or nil
-	view     int64                 // number of the view that was told last
+	viewed   func([]membership.Member) // or nil
+	view     int64                     // number of the view that was told last
 }
 
 // New opens the sockets. The table begins to ask with the first turn.
@@ -151,18 +152,20 @@
 	p.tellView()
 }
 
-// Viewed names what is told each stable view from now on, on the loop.
-func (p *Peers) Viewed(f func(membership.View)) {
+// Viewed names what is told the members of each stable view from now on, on the loop.
+func (p *Peers) Viewed(f func([]membership.Member)) {
 	p.viewed = f
 	p.tellView()
 }
 
 // tellView tells a view that is new.
 func (p *Peers) tellView() {
-	if v := p.table.View(); p.viewed != nil && v.Number != p.view {
-		p.view = v.Number
-		p.viewed(v)
+	v := p.table.View()
+	if p.viewed == nil || v.Number == p.view {
+		return
 	}
+	p.view = v.Number
+	p.viewed(slices.DeleteFunc(p.table.Members(), func(m membership.Member) bool { return !slices.Contains(v.Names, m.Name) }))
 }
 
 // Leave tells the others that this one goes on purpose.
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -95,6 +95,7 @@
 		if ev.Complete {
 			ch.nodes.Reset(named)
 		}
+		ch.listed(ev.Members)
 		for _, m := range ev.Members {
 			ch.nodes.Update(m.Machine, m.Addr, m.State != ravenhitch.Gone)
 			ch.nodes.Started(m.Machine, m.StartUs)
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -5,24 +5,62 @@
 // A shard that is lost is given up at once; one that is won is used once the command channel has
 // told it, so that no task is placed by a view that another orchestrator has outrun.
 
-import "ravenhitch/internal/shard"
+import (
+	"maps"
+	"strings"
+
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/shard"
+)
+
+// Owner says which shards of a zone this orchestrator is to place tasks in.
+type Owner func(zone string) shard.Bits
 
 // partition is the part of one orchestrator.
 type partition struct {
-	held   shard.Set // where it places tasks
-	wanted shard.Set // where it is to
-	asked  shard.Set // that the call under way names
+	owner  Owner
+	zones  map[string]string // of the workers that were listed
+	held   shard.Set         // where it places tasks, by zone
+	wanted shard.Set         // where it is to
+	asked  shard.Set         // that the call under way names
+}
+
+func newPartition(owner Owner) *partition {
+	return &partition{owner: owner, zones: map[string]string{}, held: shard.Set{}, wanted: shard.Set{}}
 }
 
-// want sets the shards that are to be held, and reports whether any was lost.
-func (p *partition) want(wanted shard.Set) (lost bool) {
+// want changes the shards that are to be held, and reports whether any was lost.
+func (p *partition) want(owner Owner) (lost bool) {
+	p.owner = owner
+	wanted := shard.Set{}
+	for zone := range p.wanted {
+		wanted[zone] = owner(zone)
+	}
 	p.wanted = wanted
 	kept := p.held.And(wanted)
-	lost = kept != p.held
+	lost = !kept.Equal(p.held)
 	p.held = kept
 	return lost
 }
 
+// listed notes the zones of workers. Those of a zone that was not named are told to everybody, so
+// the shards of a new zone are held at once; it reports whether there is one.
+func (p *partition) listed(members []config.Member) (found bool) {
+	for _, m := range members {
+		p.zones[m.Machine] = m.Zone
+		if _, there := p.wanted[m.Zone]; there {
+			continue
+		}
+		if !found {
+			p.wanted, p.held = maps.Clone(p.wanted), maps.Clone(p.held)
+		}
+		found = true
+		p.wanted[m.Zone] = p.owner(m.Zone)
+		p.held[m.Zone] = p.wanted[m.Zone]
+	}
+	return found
+}
+
 // ask is the part of a call that tells the command channel whose room is wanted, and whose is to
 // be told anew.
 func (p *partition) ask() string {
@@ -30,41 +68,52 @@
 		return ""
 	}
 	p.asked = p.wanted
-	text := "&shards=" + p.wanted.String()
-	if won := p.wanted.Minus(p.held); !won.Empty() {
-		text += "&fresh=" + won.String()
+	text := "&shards=" + inQuery(p.wanted)
+	if won := p.wanted.Minus(p.held); won.Len() > 0 {
+		text += "&fresh=" + inQuery(won)
 	}
 	return text
 }
 
+// inQuery is a set as the value in a URL's query: all its characters may stand there but one.
+func inQuery(s shard.Set) string { return strings.ReplaceAll(s.String(), "%", "%25") }
+
 // answered takes it that the call under way was answered, and reports whether shards were won.
 func (p *partition) answered() (won bool) {
 	if p == nil {
 		return false
 	}
-	before := p.held
-	p.held = p.held.Or(p.asked.And(p.wanted))
-	return p.held != before
+	held := p.held.Or(p.asked.And(p.wanted))
+	won = !held.Equal(p.held)
+	p.held = held
+	return won
 }
 
-// Partition makes this orchestrator place tasks in its shards alone; the first ones are held from
-// the start on, as what is known at the start tells all workers' room. It is called before Apply.
-func (ch *Channel) Partition(first shard.Set) {
-	ch.partition = &partition{held: first, wanted: first}
+// Partition makes this orchestrator place tasks in its shards alone. It is called before Apply.
+func (ch *Channel) Partition(owner Owner) {
+	ch.partition = newPartition(owner)
 	ch.owned()
 }
 
 // Own changes the shards that this orchestrator is to place tasks in.
-func (ch *Channel) Own(wanted shard.Set) {
-	if ch.partition.want(wanted) {
+func (ch *Channel) Own(owner Owner) {
+	if ch.partition.want(owner) {
+		ch.owned()
+	}
+}
+
+// listed notes the zones of workers, where these are divided.
+func (ch *Channel) listed(members []config.Member) {
+	if ch.partition != nil && ch.partition.listed(members) {
 		ch.owned()
 	}
 }
 
 // owned tells the core and the connections to workers which shards are held.
 func (ch *Channel) owned() {
-	held := ch.partition.held
-	ch.nodes.Own(held.HasWorker)
-	ch.core.Own(ch.l.Now(), held.HasWorker)
+	held, zones := ch.partition.held, ch.partition.zones
+	own := func(worker string) bool { return held.Has(zones[worker], worker) }
+	ch.nodes.Own(own)
+	ch.core.Own(ch.l.Now(), own)
 	ch.log.log.Info("the workers of this orchestrator", "shards", held.Len(), "wanted", ch.partition.wanted.Len())
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -13,137 +13,177 @@
 
 func TestMain(m *testing.M) { rapidtest.Main(m, "31") }
 
-// drawMembers draws names of members that differ.
-func drawMembers(t *rapid.T) []string {
-	return rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}[0-9]{0,4}`), 1, 60, rapid.ID[string]).Draw(t, "members")
-}
-
-func loads(owners []string) map[string]int {
-	held := map[string]int{}
-	for _, owner := range owners {
-		held[owner]++
+// drawMembers draws members of some zones, whose names differ.
+func drawMembers(t *rapid.T) (members []Member) {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,3}[0-9]{0,4}`), 1, 40, rapid.ID[string]).Draw(t, "names")
+	for _, name := range names {
+		members = append(members, Member{Name: name, Zone: rapid.SampledFrom(testZones).Draw(t, "zone")})
 	}
-	return held
+	return members
 }
 
-// TestOwners asserts that each shard has one owner that is a member, in whatever order members are
-// named, that nobody has more than an even part, and that Assign agrees.
+var (
+	testZones   = []string{"a1", "a2", "b1", "b2", "other", "another"}
+	testRegions = Regions{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+)
+
+// TestOwners asserts that each shard has one owner of the zone's region, in whatever order members are
+// named, that nobody has more than an even part of a zone, and that Own agrees.
 func TestOwners(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := drawMembers(t)
-		owners := Owners(members)
-		if len(owners) != Count {
-			t.Fatalf("expected %d owners, got %d", Count, len(owners))
+		zone := rapid.SampledFrom(testZones).Draw(t, "of")
+		owners, near := testRegions.Owners(zone, members), 0
+		byName := map[string]Member{}
+		for _, m := range members {
+			byName[m.Name] = m
+			if testRegions[m.Zone] == testRegions[zone] {
+				near++
+			}
 		}
-		even := (Count + len(members) - 1) / len(members)
-		for member, n := range loads(owners) {
-			if !slices.Contains(members, member) {
-				t.Fatalf("%q owns shards and is no member", member)
+		held := map[string]int{}
+		for _, owner := range owners {
+			held[owner]++
+		}
+		if near == 0 {
+			if held[""] != Count {
+				t.Fatalf("a zone without members near is owned: %v", owners)
+			}
+			return
+		}
+		even := (Count + near - 1) / near
+		var all Bits
+		total := 0
+		for name, n := range held {
+			if m, there := byName[name]; !there || testRegions[m.Zone] != testRegions[zone] {
+				t.Fatalf("%q owns shards of %s and is of %s", name, zone, m.Zone)
 			}
 			if n > even {
-				t.Fatalf("%s has %d shards, %d is an even part of %d members", member, n, even, len(members))
+				t.Fatalf("%s has %d shards, %d is an even part of %d members", name, n, even, near)
 			}
+			own := testRegions.Own(zone, members, name)
+			all |= own
+			total += Set{zone: own}.Len()
+		}
+		if all != AllBits || total != Count {
+			t.Fatalf("expected each shard assigned once, got %d assignments: %x", total, all)
 		}
 		shuffled := rapid.Permutation(append(slices.Clone(members), members[0])).Draw(t, "shuffled")
-		if !slices.Equal(owners, Owners(shuffled)) {
+		if owners != testRegions.Owners(zone, shuffled) {
 			t.Fatal("the order of the members, or one that is named twice, changes the owners")
 		}
-		var all Set
-		total := 0
-		for _, member := range members {
-			own := Assign(members, member)
-			all = all.Or(own)
-			total += own.Len()
-		}
-		if all != All() || total != Count {
-			t.Fatalf("expected each shard assigned once, got %d assignments of %d shards", total, all.Len())
-		}
 	})
 }
 
-// TestMoves bounds how many shards get another owner when a member goes: those that it had must, and
-// an eighth of all at most follow, since the others' even parts grow.
+// sizeOf are the names and zones of a fleet of the planned size: 13 zones in four regions.
+func sizeOf(members int) (zones []string, regions Regions, all []Member) {
+	regions = Regions{}
+	for i := range 13 {
+		zones = append(zones, fmt.Sprintf("zone-%d%c", i%4+1, 'a'+i/4))
+		regions[zones[i]] = fmt.Sprint(i%4 + 1)
+	}
+	for i := range members {
+		all = append(all, Member{Name: fmt.Sprint("n", i), Zone: zones[i%len(zones)]})
+	}
+	return zones, regions, all
+}
+
+// TestMoves bounds how many shards get another owner when a member goes: those that it had must; and
+// none of a region that it is not of.
 func TestMoves(t *testing.T) {
-	for _, size := range []int{2, 3, 5, 9, 16, 32, 100} {
-		most, sum := 0, 0
-		for gone := range size {
-			var members []string
-			for i := range size {
-				members = append(members, fmt.Sprintf("n%d", i))
-			}
-			before := Owners(members)
-			without := fmt.Sprintf("n%d", gone)
-			after := Owners(slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == without }))
-			moved := 0
-			for shard := range before {
-				if before[shard] != after[shard] {
+	for _, size := range []int{9, 16, 32, 100} {
+		zones, regions, members := sizeOf(size)
+		most, least, away := 0, 0, 0
+		for gone := range members {
+			left := slices.Delete(slices.Clone(members), gone, gone+1)
+			moved, own := 0, 0
+			for _, zone := range zones {
+				before, after := regions.Owners(zone, members), regions.Owners(zone, left)
+				for shard := range before {
+					if before[shard] == members[gone].Name {
+						own++
+					}
+					if before[shard] == after[shard] {
+						continue
+					}
 					moved++
+					if regions[zone] != regions[members[gone].Zone] {
+						away++
+					}
 				}
 			}
-			most, sum = max(most, moved), sum+moved
+			most, least = max(most, moved-own), least+own
 		}
-		even := (Count + size - 1) / size
-		t.Logf("%d members: %d shards each at most, %d moved at most and %.1f in the mean when one goes", size, even, most,
-			float64(sum)/float64(size))
-		if most > even+Count/8 {
-			t.Errorf("%d members: expected at most the even part of %d shards and an eighth of all to move, got %d", size, even, most)
+		t.Logf("%d members: %d shards in the mean must move when one goes, %d more move at most", size, least/size, most)
+		if most > Count*len(zones)/8 {
+			t.Errorf("%d members: expected an eighth of all shards to move beside at most, got %d", size, most)
+		}
+		if away > 0 {
+			t.Errorf("%d members: %d shards of other regions moved", size, away)
 		}
-	}
-}
-
-func TestNobody(t *testing.T) {
-	if owners := Owners(nil); owners != nil {
-		t.Errorf("expected no owners, got %v", owners)
-	}
-	if own := Assign([]string{"a", "b"}, "c"); !own.Empty() {
-		t.Errorf("expected nothing for one that is no member, got %d shards", own.Len())
-	}
-	if own := Assign([]string{"a"}, "a"); own != All() {
-		t.Errorf("expected all shards for the only member, got %d", own.Len())
 	}
 }
 
 // TestWorkersSpread asserts that the names of a fleet, which differ in few letters, fall into all
-// shards evenly: nine orchestrators have between 0.8 and 1.2 of their parts of 4,000 workers.
+// shards evenly: nine orchestrators have between 0.8 and 1.2 of their parts of 4,000 workers, with
+// regions and without.
 func TestWorkersSpread(t *testing.T) {
-	const workers, members = 4000, 9
-	var names []string
-	for i := range members {
-		names = append(names, fmt.Sprintf("n%d", i))
-	}
-	owners := Owners(names)
-	held := map[string]int{}
-	for i := range workers {
-		held[owners[Of(fmt.Sprintf("s-%08x", 0xc41f00+i))]]++
-	}
-	t.Logf("workers by orchestrator: %v", held)
-	for name, n := range held {
-		if n < workers/members*8/10 || n > workers/members*12/10 {
-			t.Errorf("%s has %d of %d workers", name, n, workers)
+	const workers, rack = 4000, 40
+	zones, regions, members := sizeOf(9)
+	for name, r := range map[string]Regions{"regions": regions, "one region": nil} {
+		held := map[string]int{}
+		for i := range workers {
+			zone := zones[i/rack%len(zones)]
+			held[r.Owners(zone, members)[Of(fmt.Sprintf("s-%08x", 0xc41f00+i))]]++
+		}
+		t.Logf("%s: workers by orchestrator: %v", name, held)
+		for member, n := range held {
+			if n < workers/len(members)*8/10 || n > workers/len(members)*12/10 {
+				t.Errorf("%s: %s has %d of %d workers", name, member, n, workers)
+			}
 		}
 	}
 }
 
-func TestText(t *testing.T) {
+// drawSet draws a set of shards.
+func drawSet(t *rapid.T, name string) Set {
+	return rapid.MapOf(rapid.SampledFrom(append(testZones, "", "with:colon, and 100%+")), rapid.Custom(func(t *rapid.T) Bits {
+		return Bits(rapid.Uint16().Draw(t, "bits"))
+	})).Draw(t, name)
+}
+
+// TestSets compares the operations on sets with those on each shard.
+func TestSets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var s Set
-		for _, shard := range rapid.SliceOf(rapid.IntRange(0, Count-1)).Draw(t, "shards") {
-			s.add(shard)
-			if !s.Has(shard) {
-				t.Fatalf("shard %d was added and is not there", shard)
+		a, b := Set(drawSet(t, "a")), Set(drawSet(t, "b"))
+		and, or, minus := a.And(b), a.Or(b), a.Minus(b)
+		count, same := 0, true
+		for _, zone := range append(testZones, "", "with:colon, and 100%+") {
+			for shard := range Count {
+				x, y := a[zone].Has(shard), b[zone].Has(shard)
+				if and[zone].Has(shard) != (x && y) || or[zone].Has(shard) != (x || y) || minus[zone].Has(shard) != (x && !y) {
+					t.Fatalf("shard %d of %q: %v and %v", shard, zone, x, y)
+				}
+				if x {
+					count++
+				}
+				same = same && x == y
 			}
 		}
-		back, err := Parse(s.String())
-		if err != nil || back != s {
-			t.Fatalf("expected %v, got %v, %v", s, back, err)
+		if a.Len() != count || a.Equal(b) != same {
+			t.Fatalf("%d shards counted as %d; equal %v", count, a.Len(), a.Equal(b))
 		}
-		if !s.Minus(s).Empty() || s.And(All()) != s || s.Or(s) != s || All().Minus(s).Len() != Count-s.Len() {
-			t.Fatal("the operations on sets do not agree")
+		back, err := Parse(a.String())
+		if err != nil || !back.Equal(a) {
+			t.Fatalf("%q is read as %v, %v", a, back, err)
 		}
 	})
-	for _, text := range []string{"", "zz", "00", All().String() + "00"} {
-		if _, err := Parse(text); !errors.Is(err, ErrSet) {
-			t.Errorf("%q: expected ErrSet, got %v", text, err)
+}
+
+func TestParseErrors(t *testing.T) {
+	for _, text := range []string{"a", "a:", "a:12", "a:12345", "a:zzzz", "a:0001,", ",a:0001", "a:0001,a:0001", "a:-001"} {
+		if s, err := Parse(text); !errors.Is(err, ErrSet) {
+			t.Errorf("%q: expected ErrSet, got %v, %v", text, s, err)
 		}
 	}
 }
--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"ravenhitch/internal/shard"
 	"ravenhitch/internal/standin"
 )
 
@@ -178,9 +179,12 @@
 	return l
 }
 
-func ask(t *testing.T, u *Subscription, resume int) listed {
+func ask(t *testing.T, u *Subscription, resume int) listed { return askFor(t, u, resume, "") }
+
+// askFor asks with further parameters.
+func askFor(t *testing.T, u *Subscription, resume int, parameters string) listed {
 	t.Helper()
-	answer, err := http.Get("http://" + u.Address() + "/cmd/next?block=5000&resume=" + strconv.Itoa(resume))
+	answer, err := http.Get("http://" + u.Address() + "/cmd/next?block=20&resume=" + strconv.Itoa(resume) + parameters)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,3 +230,65 @@
 		t.Errorf("expected events to be numbered anew at a start, got %d", known.Cursor)
 	}
 }
+
+// ids are the workers that an answer tells.
+func (l listed) ids() (ids string) {
+	for _, event := range l.Cmds {
+		for _, m := range event.Nodes.Members {
+			ids += m.ID + " "
+		}
+	}
+	return ids
+}
+
+// An orchestrator that names shards is told the room of their workers alone, and of all where and
+// whether they are there; those of zones that it does not name, and those it asks for anew.
+func TestSourceTellsShards(t *testing.T) {
+	f, _ := newTestFleet(t, 3)
+	s := NewSource(f, time.Hour) // told by hand
+	t.Cleanup(s.Close)
+	u, err := s.Subscribe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.Close)
+	u.Known()
+	w := f.Workers[1]
+	others := shard.Set{}
+	for _, other := range f.Workers {
+		others[other.Zone] = shard.AllBits
+	}
+	others[w.Zone] &^= 1 << shard.Of(w.ID)
+	mine := shard.Set{w.Zone: 1 << shard.Of(w.ID)}
+	for _, c := range []struct {
+		what, parameters, ids string
+		change                func()
+	}{
+		{"room, of a shard that is not named", "&shards=" + others.String(), "", func() { f.Touch(1) }},
+		{"room, of a shard that is named", "&shards=" + mine.String(), w.ID + " ", func() { f.Touch(1) }},
+		{"room, of a zone that is not named", "&shards=elsewhere:ffff", w.ID + " ", func() { f.Touch(1) }},
+		{"room, without shards", "", w.ID + " ", func() { f.Touch(1) }},
+		{"a state, of a shard that is not named", "&shards=" + others.String(), w.ID + " ", func() { w.List("draining") }},
+		{"room after a state", "&shards=" + others.String(), w.ID + " ", func() { w.List("up"); f.Touch(1) }},
+		{"nothing, asked anew", "&shards=" + mine.String() + "&fresh=" + mine.String(), w.ID + " ", func() {}},
+	} {
+		from := s.Revision()
+		c.change()
+		s.tell()
+		answer := askFor(t, u, from, c.parameters)
+		if answer.ids() != c.ids {
+			t.Errorf("%s: told of %q, expected %q", c.what, answer.ids(), c.ids)
+		}
+		if answer.Cursor != s.Revision() {
+			t.Errorf("%s: at event %d, expected %d", c.what, answer.Cursor, s.Revision())
+		}
+	}
+	answer, err := http.Get("http://" + u.Address() + "/cmd/next?resume=1&shards=what")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusBadRequest {
+		t.Errorf("shards that can't be read: status %d", answer.StatusCode)
+	}
+}
--- a/internal/standin/hollow/source.go
+++ b/internal/standin/hollow/source.go
@@ -45,15 +45,16 @@
 
 // eventEntry is the entry of a worker as text.
 type eventEntry struct {
-	text  string
-	shard int
-	toAll bool // it tells more than the worker's room
+	text, zone, worker string
+	toAll              bool // it tells more than the worker's room
 }
 
-// textsFor are the entries that an orchestrator is told.
+// textsFor are the entries that an orchestrator is told: those of its shards, of zones that it does
+// not name, and whatever tells more than room.
 func (e *event) textsFor(shards shard.Set) (texts []string) {
 	for _, entry := range e.entries {
-		if entry.toAll || shards.Has(entry.shard) {
+		_, named := shards[entry.zone]
+		if entry.toAll || !named || shards.Has(entry.zone, entry.worker) {
 			texts = append(texts, entry.text)
 		}
 	}
@@ -119,7 +120,7 @@
 	defer s.mutex.Unlock()
 	var entries []eventEntry
 	for _, w := range s.fleet.Workers {
-		if shards.HasWorker(w.ID) {
+		if shards.Has(w.Zone, w.ID) {
 			entries = append(entries, w.eventEntry(changedRoom))
 		}
 	}
@@ -218,13 +219,13 @@
 	query := r.URL.Query()
 	after, _ := strconv.Atoi(query.Get("resume"))
 	block, _ := strconv.Atoi(query.Get("block"))
-	shards, err := shardsOf(query.Get("shards"), shard.All())
-	fresh, freshErr := shardsOf(query.Get("fresh"), shard.Set{})
+	shards, err := shard.Parse(query.Get("shards"))
+	fresh, freshErr := shard.Parse(query.Get("fresh"))
 	if err = cmp.Or(err, freshErr); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !fresh.Empty() {
+	if fresh.Len() > 0 {
 		u.source.tellFresh(fresh)
 	}
 	u.mutex.Lock()
@@ -250,14 +251,6 @@
 	}
 }
 
-// shardsOf reads the shards that a call names; where it names none, absent are meant.
-func shardsOf(text string, absent shard.Set) (shard.Set, error) {
-	if text == "" {
-		return absent, nil
-	}
-	return shard.Parse(text)
-}
-
 // after is the answer with what follows a cursor in some shards, or "" and where more will be
 // noticed; last is the cursor of the last event.
 func (s *Source) after(base, cursor int, shards shard.Set) (answer string, last int, more <-chan struct{}) {
--- a/test/scale/demand_test.go
+++ b/test/scale/demand_test.go
@@ -42,6 +42,7 @@
 	// mean: at 220 starts a second 4.8 jobs a second, which at the peak is nine times the mean
 	// pace of 48,000 jobs a day.
 	largestJob = 256
+	regions    = 4
 	zones      = 13
 	rackSize   = 40 // at most: each zone has a rack
 )
@@ -57,7 +58,7 @@
 
 func zoneNames() (names []string) {
 	for i := range zones {
-		names = append(names, fmt.Sprintf("zone-%d%c", i%4+1, 'a'+i/4))
+		names = append(names, fmt.Sprintf("zone-%d%c", i%regions+1, 'a'+i/regions))
 	}
 	return names
 }
--- a/test/scale/ledger_test.go
+++ b/test/scale/ledger_test.go
@@ -43,6 +43,7 @@
 	asked, started, refused, failed, ended, cut, moved, unreachable       int
 	urgentLate, unanswered, doubleStarts, secondAnswers, lateEnds, untold int
 	connectionsLost, endedMeanwhile, repeats                              int
+	elsewhere                                                             int // starts at workers of another orchestrator
 }
 
 // rulesBroken adds up what must never be.
@@ -63,8 +64,9 @@
 	starts   *hdrhistogram.Histogram
 	closed   bool
 	note     func(format string, args ...any)
-	heard    chan struct{}                      // has something in it after messages came
-	again    func(t *task, after time.Duration) // asks for a task anew
+	heard    chan struct{}                             // has something in it after messages came
+	again    func(t *task, after time.Duration)        // asks for a task anew
+	places   func(o *orchestrator, worker string) bool // it places tasks there
 }
 
 const (
@@ -215,6 +217,9 @@
 	l.counts.started++
 	r.task.standing = true
 	r.task.worker, _, _ = strings.Cut(*line.Blob, " ")
+	if !l.places(r.orchestrator, r.task.worker) {
+		l.counts.elsewhere++
+	}
 	delete(l.waiting, r.task)
 	took := now.Sub(r.firstAsked)
 	l.starts.RecordValue(min(histogramMostUs, max(1, took.Microseconds())))
--- a/test/scale/options_test.go
+++ b/test/scale/options_test.go
@@ -24,8 +24,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"strings"
 	"time"
+
+	"ravenhitch/internal/shard"
 )
 
 var (
@@ -79,6 +82,19 @@
 // othersShare is how many orchestrators don't run, for each that does.
 func (o options) othersShare() float64 { return float64(o.fleetSize)/float64(o.orchestrators) - 1 }
 
+// regions are those of the zones, where each has an orchestrator.
+func (o options) regions() shard.Regions {
+	names := zoneNames()
+	if o.orchestrators < regions {
+		return nil
+	}
+	all := shard.Regions{}
+	for i, zone := range names {
+		all[zone] = fmt.Sprint("region-", i%regions+1)
+	}
+	return all
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // meanRun is the run time that keeps the number of running tasks where it is.
--- a/test/scale/rig_test.go
+++ b/test/scale/rig_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -85,7 +86,7 @@
 	}
 	r.source = hollow.NewSource(r.fleet, o.listEvery)
 	r.clients = newClients(r)
-	r.ledger.again, r.ledger.note = r.clients.again, t.Logf
+	r.ledger.again, r.ledger.note, r.ledger.places = r.clients.again, t.Logf, r.places
 	r.startOrchestrators()
 	return r
 }
@@ -160,23 +161,34 @@
 
 // workersByOrchestrator are the workers at which each orchestrator places tasks.
 func (r *rig) workersByOrchestrator() map[*orchestrator][]*hollow.Worker {
-	places, byName := map[*orchestrator][]*hollow.Worker{}, map[string]*orchestrator{}
-	var names []string
-	for _, o := range r.orchestrators {
-		if names, byName[o.Name] = append(names, o.Name), o; !r.options.partition {
-			places[o] = r.fleet.Workers
-		}
-	}
-	if r.options.partition {
-		owners := shard.Owners(names)
-		for _, w := range r.fleet.Workers {
-			owner := byName[owners[shard.Of(w.ID)]]
-			places[owner] = append(places[owner], w)
+	places := map[*orchestrator][]*hollow.Worker{}
+	for _, w := range r.fleet.Workers {
+		for _, o := range r.placers(w) {
+			places[o] = append(places[o], w)
 		}
 	}
 	return places
 }
 
+// placers are the orchestrators that place tasks at a worker while all are there.
+func (r *rig) placers(w *hollow.Worker) []*orchestrator {
+	if !r.options.partition {
+		return r.orchestrators
+	}
+	var members []shard.Member
+	for _, o := range r.orchestrators {
+		members = append(members, shard.Member{Name: o.Name, Zone: o.zone()})
+	}
+	owner := r.options.regions().Owners(w.Zone, members)[shard.Of(w.ID)]
+	return slices.DeleteFunc(slices.Clone(r.orchestrators), func(o *orchestrator) bool { return o.Name != owner })
+}
+
+// places reports whether an orchestrator places tasks at a worker while all are there.
+func (r *rig) places(o *orchestrator, worker string) bool {
+	i := slices.IndexFunc(r.fleet.Workers, func(w *hollow.Worker) bool { return w.ID == worker })
+	return i >= 0 && slices.Contains(r.placers(r.fleet.Workers[i]), o)
+}
+
 // put lets a task stand at one of some workers, one with room, for its orchestrator.
 func (r *rig) put(t *task, workers []*hollow.Worker, random *rand.Rand) bool {
 	_, tag := t.orchestrator.clients.pick()
--- a/test/scale/scale_test.go
+++ b/test/scale/scale_test.go
@@ -131,6 +131,9 @@
 	if res.descriptors > int64(res.options.sockets) {
 		t.Errorf("expected at most %d descriptors, got %d", res.options.sockets, res.descriptors)
 	}
+	if res.counts.elsewhere != 0 {
+		t.Errorf("expected no start at a worker of another orchestrator, got %d", res.counts.elsewhere)
+	}
 	if res.started == 0 {
 		t.Error("expected starts, got none")
 	}
--- a/test/scale/settings_test.go
+++ b/test/scale/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 // This file owns the configuration of an orchestrator.
@@ -83,11 +84,26 @@
 	text += fmt.Sprintf("[peers]\nlisten %s\ncluster scale\n", o.peers())
 	for _, other := range o.rig.orchestrators {
 		if other != o {
-			text += fmt.Sprintf("member %s %s\n", other.Name, other.peers())
+			text += fmt.Sprintf("member %s %s %s\n", other.Name, other.peers(), other.zone())
 		}
 	}
 	if o.rig.options.partition {
-		text += "partition on\n"
+		text += "partition on\n" + o.rig.options.regionLines()
 	}
 	return text
 }
+
+// regionLines are the regions in the operators' file.
+func (o options) regionLines() (text string) {
+	zones := map[string][]string{}
+	for zone, region := range o.regions() {
+		zones[region] = append(zones[region], zone)
+	}
+	for region, names := range zones {
+		text += fmt.Sprintf("region %s %s\n", region, strings.Join(names, " "))
+	}
+	return text
+}
+
+// zone is where an orchestrator is.
+func (o *orchestrator) zone() string { return zoneNames()[o.index%zones] }
