Call the table of members when it has something to do, not every 50 ms

Change: Table.Next is the next probe or the next answer that is overdue while nobody is in doubt, and 50 ms after the last call otherwise, as before. Peers and both simulated fleets ask it again after each word that comes. A table is held up where it is called 450 ms after it wanted to be (500 ms after its last call before: the same, at 50 ms). A probe that was answered is concluded up to 25 ms sooner.

TestPace, TestSoonerAfterAWord.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -77,10 +77,10 @@
 }
 
 const (
-	// tickEvery is how often Tick wants to be called, and lateTick what says that this
-	// instance was held up itself.
+	// tickEvery is how often Tick wants to be called at the most, and lateTick by how much it has
+	// to come late to say that this instance was held up itself.
 	tickEvery = 50_000
-	lateTick  = 500_000
+	lateTick  = 450_000
 	// proxies are asked to reach whom this instance cannot.
 	proxies = 3
 	// probesMost bounds the probes under way.
@@ -197,8 +197,39 @@
 	return t
 }
 
-// Next is when Tick wants to be called.
-func (t *Table) Next() int64 { return t.ticked + tickEvery }
+// Next is when Tick wants to be called: every tickEvery while anything is in doubt, else for the next
+// probe or the next answer that is overdue. It may become sooner with each call of another method.
+func (t *Table) Next() int64 {
+	if !t.calm() {
+		return t.ticked + tickEvery
+	}
+	next := t.probeAt
+	if t.live < len(t.names) || t.unmet() {
+		next = min(next, t.deadAt)
+	}
+	for _, p := range t.probes {
+		if m := t.members[p.name]; m != nil && !p.acked {
+			next = min(next, p.at+t.direct(m))
+		}
+	}
+	return max(next, t.ticked+tickEvery)
+}
+
+// calm reports whether nobody is in doubt, and nothing waits but answers that are not overdue.
+func (t *Table) calm() bool {
+	switch {
+	case t.joining, t.barred > 0, t.health > 0, t.stale > 0:
+		return false
+	case len(t.asks) > 0, len(t.accused) > 0, len(t.soon) > 0:
+		return false
+	}
+	return !slices.ContainsFunc(t.probes, func(p *probe) bool { return p.second })
+}
+
+// unmet reports whether a peer of the settings was never heard of.
+func (t *Table) unmet() bool {
+	return slices.ContainsFunc(t.Peers, func(p Peer) bool { return t.members[p.Name] == nil })
+}
 
 // take returns the acts gathered so far.
 func (t *Table) take() []Act {
--- /dev/null
+++ b/internal/membership/pace_test.go
@@ -0,0 +1,46 @@
+package membership
+
+import "testing"
+
+// TestPace asserts that a calm table wants to be called little more often than it probes, that one in
+// doubt wants to be every tickEvery, and that what comes in between is looked at in time.
+func TestPace(t *testing.T) {
+	const members, seconds = 9, 20
+	f := newFleet(members, 5, []fault{{kind: "vanish", a: 4, b: -1, at: 60 * second, until: 61 * second}})
+	f.run(formed(members))
+	ticks := func() (sum int) {
+		for i, x := range f.all {
+			if i != 4 {
+				sum += x.ticks
+			}
+		}
+		return sum
+	}
+	before := ticks()
+	f.run(f.now + seconds*second)
+	perSecond := float64(ticks()-before) / seconds / (members - 1)
+	if probes := float64(second) / float64(f.all[0].Every); perSecond > 1.2*probes {
+		t.Errorf("%g calls a second and member in calm, %g probes", perSecond, probes)
+	}
+	f.run(62 * second)
+	before = ticks()
+	f.run(64 * second)
+	perSecond = float64(ticks()-before) / 2 / (members - 1)
+	if perSecond < 0.8*second/tickEvery {
+		t.Errorf("%g calls a second and member while one is suspected", perSecond)
+	}
+}
+
+// TestSoonerAfterAWord asserts that the word of another, that it cannot reach a third, makes a calm
+// table want to be called sooner.
+func TestSoonerAfterAWord(t *testing.T) {
+	f := newFleet(3, 6, nil)
+	f.run(formed(3) + 10*second)
+	x := f.all[0]
+	calm := x.Next()
+	m := &Message{Kind: Ask, Seq: 1, To: name(0), Self: f.all[1].Self, Target: name(2)}
+	x.Receive(f.now, m)
+	if next := x.Next(); next >= calm || next > x.ticked+tickEvery {
+		t.Errorf("asked for a third it wants to be called at %d, calm at %d", next, calm)
+	}
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -30,10 +30,9 @@
 
 // Tick does what is due.
 func (t *Table) Tick(now int64) []Act {
-	t.now = now
-	gap := now - t.ticked
-	t.ticked = now
-	if gap > lateTick {
+	due, gap := t.Next(), now-t.ticked
+	t.now, t.ticked = now, now
+	if now-due > lateTick {
 		t.heldUp(gap)
 	}
 	switch {
@@ -192,7 +191,7 @@
 			}
 			t.acts = append(t.acts, HandshakeProbe{Name: m.Name, Addr: t.reach(m.Name)})
 		}
-		done := p.acked && t.now-p.at >= t.Direct || p.refused && t.now-p.at >= t.direct(m)+t.Direct/2 ||
+		done := p.acked && t.now-p.at >= t.Direct-tickEvery/2 || p.refused && t.now-p.at >= t.direct(m)+t.Direct/2 ||
 			t.now-p.at >= t.Whole*int64(1+t.health)
 		if done {
 			over = append(over, p)
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -36,6 +36,8 @@
 	kept        uint64 // the incarnation that its folder holds
 	disturbed   int64  // until when it may rightly be taken for dead
 	as          string // its name, where it has that of another
+	tickAt      int64  // when its table is called next
+	ticks       int    // calls so far
 	said        map[EventKind]int
 }
 
@@ -127,21 +129,33 @@
 	x.Table = New(f.now, Config{Self: Rumour{Name: as, Zone: fmt.Sprint("hall-", f.zone(i)), Addr: addrOf(i),
 		Life: f.rng.Uint64(), Incarnation: x.kept + 1}, Peers: peers, Seed: f.rng.Uint64()})
 	x.up, x.left, x.vanished, x.pausedUntil = true, false, false, 0
-	life := x.lives
-	var tick func()
-	tick = func() {
-		if !x.up || x.lives != life {
-			return
-		}
-		if x.pausedUntil > f.now {
-			f.at(x.pausedUntil+1, tick)
-			return
-		}
-		f.do(i, x.Tick(f.now))
-		f.read(i)
-		f.at(f.now+tickEvery+f.lateness(i), tick)
+	x.tickAt = 0
+	f.tickAt(i, f.now+f.rng.Int64N(tickEvery))
+}
+
+// schedule has the table called when it wants to be, unless that is due sooner already.
+func (f *fleet) schedule(i int) {
+	x := f.all[i]
+	if at := max(x.Next(), f.now+1) + f.lateness(i); x.tickAt <= f.now || at < x.tickAt {
+		f.tickAt(i, at)
 	}
-	f.at(f.now+f.rng.Int64N(tickEvery), tick)
+}
+
+// tickAt calls the table at a time, if no other time is set until then.
+func (f *fleet) tickAt(i int, at int64) {
+	x, life := f.all[i], f.all[i].lives
+	x.tickAt = at
+	f.at(at, func() {
+		switch {
+		case !x.up || x.lives != life || x.tickAt != at:
+		case x.pausedUntil > f.now:
+			f.tickAt(i, x.pausedUntil+1)
+		default:
+			x.ticks++
+			f.do(i, x.Tick(f.now))
+			f.read(i)
+		}
+	})
 }
 
 // lateness is what an overloaded instance adds to each of its turns.
@@ -324,6 +338,7 @@
 			}
 		}
 	}
+	f.schedule(i)
 }
 
 func (f *fleet) deliver(j int, m *Message) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,6 +63,8 @@
 	carriers map[lane]*inboundConn
 	takes    map[Kind]func(from string, b []byte)
 	room     func(to string, k Kind)
+	timer    *loop.Timer               // the next turn
+	due      int64                     // when that is
 	viewed   func([]membership.Member) // or nil
 	view     int64                     // number of the view that was told last
 }
@@ -105,9 +107,16 @@
 func (p *Peers) Addr() string { return p.s.Listen }
 
 // turn has the table do what is due, and comes again.
-func (p *Peers) turn() {
-	p.do(p.table.Tick(p.l.Now()))
-	p.l.At(max(p.table.Next(), p.l.Now()+1), p.turn)
+func (p *Peers) turn() { p.do(p.table.Tick(p.l.Now())) }
+
+// schedule has the next turn come when the table wants it.
+func (p *Peers) schedule() {
+	at := max(p.table.Next(), p.l.Now()+1)
+	if p.timer.Pending() && p.due <= at {
+		return
+	}
+	p.timer.Stop()
+	p.timer, p.due = p.l.At(at, p.turn), at
 }
 
 // take hands a datagram to the table.
@@ -150,6 +159,7 @@
 		p.log.Info("peers", "what", e.Kind.String(), "member", e.Name, "hall", e.Zone, "evidence", e.Evidence)
 	}
 	p.tellView()
+	p.schedule()
 }
 
 // Viewed names what is told the members of each stable view from now on, on the loop.
--- a/test/scale/hollow/fleet_test.go
+++ b/test/scale/hollow/fleet_test.go
@@ -29,8 +29,8 @@
 	life                uint64
 	starts              uint64
 	startedAt           int64
-	tick                func()
-	load, second        load // since the last sample; in the present second
+	tickDue             int64 // when its membership is called next
+	load, second        load  // since the last sample; in the present second
 }
 
 // fleet is instances joined by a network, under passed time.
@@ -83,15 +83,26 @@
 	x.Table = membership.New(f.now, membership.Config{
 		Self:  membership.Rumour{Name: x.name, Zone: x.zone, Addr: x.address, Life: x.life, Incarnation: x.starts << incarnationBits},
 		Peers: f.seeds(), Seed: f.rng.Uint64()})
-	life := x.life
-	x.tick = func() {
-		if !x.running || x.life != life {
-			return
-		}
-		f.call(i, func() []membership.Act { return x.Tick(f.now) })
-		f.at(x.Next(), x.tick)
+	f.tickAt(i, f.now+f.rng.Int64N(x.Next()-f.now))
+}
+
+// schedule has the membership of an instance called when it wants to be, unless that is due sooner.
+func (f *fleet) schedule(i int) {
+	x := f.instances[i]
+	if at := max(x.Next(), f.now+1); x.tickDue <= f.now || at < x.tickDue {
+		f.tickAt(i, at)
 	}
-	f.after(f.rng.Int64N(x.Next()-f.now), x.tick)
+}
+
+// tickAt calls the membership of an instance at a time, if no other time is set until then.
+func (f *fleet) tickAt(i int, at int64) {
+	x, life := f.instances[i], f.instances[i].life
+	x.tickDue = at
+	f.at(at, func() {
+		if x.running && x.life == life && x.tickDue == at {
+			f.call(i, func() []membership.Act { return x.Tick(f.now) })
+		}
+	})
 }
 
 // stop ends the process of an instance without a word.
@@ -121,6 +132,7 @@
 			f.judge(i, e)
 		}
 	}
+	f.schedule(i)
 }
 
 // send carries a datagram in the form that it has on the wire.
