--- /dev/null
+++ b/cmd/ravenhitch/program.go
@@ -0,0 +1,195 @@
+package main
+
+// This file joins the parts of one orchestrator. It must never decide on a task.
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+
+	"ravenhitch/internal/config"
+	"ravenhitch/internal/core"
+	"ravenhitch/internal/grpcfront"
+	"ravenhitch/internal/loop"
+	"ravenhitch/internal/metrics"
+	"ravenhitch/internal/peer"
+	"ravenhitch/internal/platform"
+	"ravenhitch/internal/storm"
+	"ravenhitch/internal/ticket"
+)
+
+const (
+	// spareSockets are descriptors that are no sockets of the loop: standard
+	// streams, epoll, eventfd, and what the runtime opens for itself.
+	spareSockets = 32
+	// minUnread is what any connection may leave unread: some messages of full size.
+	minUnread = 64 << 10
+	// socketsDefault holds where the configuration names no limit.
+	socketsDefault = 1024
+)
+
+// program is one orchestrator, its parts joined.
+type program struct {
+	log   *slog.Logger
+	l     *loop.Loop
+	c     *core.Core
+	nodes *platform.Nodes
+	addr  string // of the platform's front
+	grpc  *grpcfront.Front
+	gaddr string // of the gRPC front, "" where that is off
+	// tickets is the file of the keys of return tickets, "" where none are given
+	tickets string
+
+	front        *platform.Front
+	channel      *platform.Channel
+	peers        *peer.Peers // nil where no others are known
+	assignment   *assignment // of the workers to orchestrators, nil where this one uses all
+	exporters    []*metrics.Exporter
+	drainTimeout int64 // how long after Stop what is still open is answered
+	leaving      bool  // told to end
+	inherited    bool  // the platform holds the owners' socket
+	successor    bool  // a process that goes on serves it already
+	// look asks for a look at the files for a successor, nil where nobody keeps files.
+	look chan struct{}
+	// drainTimeoutBeside is how long after Stop what is open is answered where there is a successor.
+	drainTimeoutBeside int64
+	maddr              string // where operators' staff call, "" where nobody does
+	over               chan struct{}
+}
+
+// start joins the parts and begins to listen; Run serves.
+func start(cfg config.Config, edge config.Edge, log *slog.Logger) (p *program, err error) {
+	budget, err := socketBudget(cfg, edge)
+	if err != nil {
+		return nil, err
+	}
+	p = &program{log: log, over: make(chan struct{})}
+	if p.l, err = loop.New(budget); err != nil {
+		return nil, err
+	}
+	defer func(l *loop.Loop) {
+		if err != nil { // p is nil then
+			l.Close()
+		}
+	}(p.l)
+	if cfg.MemoryMB > 0 {
+		// What all connections together leave unread fits into a quarter of the memory.
+		p.l.Unread(max(minUnread, int(cfg.MemoryMB<<20)/4/budget))
+	}
+	p.drainTimeout = drainTimeout(cfg.Settings, maxDeadline)
+	p.inherited = cfg.Inherited > 0
+	p.drainTimeoutBeside = drainTimeout(cfg.Settings, deadlineBeside)
+	if err = p.startCore(cfg, edge); err != nil {
+		return nil, err
+	}
+	if err = p.startFronts(cfg, edge, budget); err != nil {
+		return nil, err
+	}
+	p.startExporters(cfg, edge)
+	log.Info("serving", "listen", p.addr, "grpc", p.gaddr, "mgmt", p.maddr, "known", cfg.Known.Cursor)
+	return p, nil
+}
+
+// socketBudget is how many sockets the loop may hold.
+func socketBudget(cfg config.Config, edge config.Edge) (int, error) {
+	sockets := int(cfg.Sockets)
+	if sockets <= 0 {
+		sockets = socketsDefault
+	}
+	budget := sockets - spareSockets
+	if edge.GRPCListen != "" {
+		budget -= grpcfront.Conns + 1
+	}
+	if budget < 16 {
+		return 0, fmt.Errorf("a limit of %d sockets is too low", sockets)
+	}
+	return budget, nil
+}
+
+// startCore joins the core with the minions' side and the advisor of refused owners.
+func (p *program) startCore(cfg config.Config, edge config.Edge) (err error) {
+	p.nodes = platform.NewNodes(p.l, cfg.DialTimeoutUs, cfg.Settings.Tests, p.log)
+	p.nodes.Trace(edge.Trace)
+	p.nodes.KeepAlive(edge.Workers.KeepAlive)
+	if p.c, err = core.New(cfg.Settings, cfg.Seed, p.nodes, p.log); err != nil {
+		return err
+	}
+	p.c.Trace(edge.Trace)
+	p.nodes.Use(p.c)
+	if edge.Storm.Constant > 0 {
+		p.c.Advise(core.Constant(edge.Storm.Constant))
+		return nil
+	}
+	s := core.StormSettings(cfg.Settings)
+	s.LeastUs, s.Callers = edge.Storm.Least.Microseconds(), edge.Storm.Callers
+	p.c.Advise(storm.New(s, cfg.Seed))
+	return nil
+}
+
+// startFronts follows the command channel and begins to listen: to operators, to owners,
+// to other orchestrators, and to owners that speak gRPC.
+func (p *program) startFronts(cfg config.Config, edge config.Edge, budget int) (err error) {
+	p.front = platform.NewFront(p.l, p.c, budget*3/4, cfg.ConnIdleUs, p.log)
+	p.front.Trace(edge.Trace)
+	platform.Share(p.front, p.nodes, budget)
+	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, p.log)
+	if edge.Peers.Partition {
+		p.assignment = newAssignment(p.l, p.channel, cfg, edge.Peers)
+	}
+	p.channel.Apply(cfg.Known, true)
+	p.channel.Start()
+	if cfg.Manage != "" {
+		if err = p.listenAdmin(cfg.Manage, os.TempDir(), p.log); err != nil {
+			return fmt.Errorf("the place of operators' calls: %w", err)
+		}
+	}
+	if p.addr, err = p.front.Listen(cfg.Listen, cfg.Inherited); err != nil {
+		return err
+	}
+	if edge.Peers.Listen != "" {
+		if err = p.join(cfg, edge.Peers); err != nil {
+			return err
+		}
+	}
+	if edge.GRPCListen != "" {
+		return p.startGRPC(edge)
+	}
+	return nil
+}
+
+// startGRPC serves the gRPC front, on goroutines of its own.
+func (p *program) startGRPC(edge config.Edge) error {
+	creds, err := grpcfront.Credentials(edge.GRPCCert, edge.GRPCKey)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", edge.GRPCListen)
+	if err != nil {
+		return fmt.Errorf("grpc: %w", err)
+	}
+	p.gaddr = ln.Addr().String()
+	p.grpc = grpcfront.New(p.l, p.c, creds)
+	if p.tickets = edge.GRPCTickets; p.tickets != "" {
+		keys, err := loadKeys(p.tickets)
+		if err != nil {
+			return err
+		}
+		p.grpc.Keys(keys)
+	}
+	go func() {
+		if err := p.grpc.Serve(ln); err != nil {
+			p.log.Error("the gRPC front ended", "err", err)
+		}
+	}()
+	return nil
+}
+
+// loadKeys reads the file of the keys of return tickets.
+func loadKeys(path string) (*ticket.Keys, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("tickets: %w", err)
+	}
+	return ticket.ParseKeys(path, b)
+}
--- /dev/null
+++ b/internal/platform/limited_log.go
@@ -0,0 +1,47 @@
+package platform
+
+// This file owns the log whose lines of one text are limited.
+
+import (
+	"log/slog"
+	"time"
+)
+
+// Limited is a log whose lines of one text are limited to a few a second.
+type Limited struct {
+	log  *slog.Logger
+	seen map[string]*burst
+}
+
+type burst struct {
+	at      time.Time
+	n, mute int
+}
+
+const (
+	limitEvery = time.Second
+	limitLines = 5
+)
+
+// NewLimited returns a Limited over log.
+func NewLimited(log *slog.Logger) *Limited { return &Limited{log: log, seen: map[string]*burst{}} }
+
+// Warn logs a line, unless the text had its lines of this second.
+func (l *Limited) Warn(text string, args ...any) {
+	b := l.seen[text]
+	if b == nil {
+		b = &burst{}
+		l.seen[text] = b
+	}
+	if now := time.Now(); now.Sub(b.at) > limitEvery {
+		if b.mute > 0 {
+			l.log.Warn(text, "left_out", b.mute)
+		}
+		*b = burst{at: now}
+	}
+	if b.n++; b.n > limitLines {
+		b.mute++
+		return
+	}
+	l.log.Warn(text, args...)
+}
