--- a/cmd/ravenhitch/assignment.go
+++ b/cmd/ravenhitch/assignment.go
@@ -20,28 +20,39 @@
 
 // assignment divides the workers among the members that are there.
 type assignment struct {
-	channel  *platform.Channel
+	use      func(platform.Owner) // takes a division of the workers
 	regions  shard.Regions
 	self     string
 	presumed []shard.Member // that are taken to be there
 	view     []shard.Member // of the last stable view
 }
 
-// newAssignment begins with the members that the operators' file names.
-func newAssignment(l *loop.Loop, channel *platform.Channel, cfg config.Config, s config.Peers) *assignment {
-	a := &assignment{channel: channel, regions: s.Regions, self: cfg.Name,
-		presumed: []shard.Member{{Name: cfg.Name, Zone: cmp.Or(s.Hall, cfg.Settings.Zone)}}}
+// assign divides the workers, at first among the members that the operators' file names.
+func assign(l *loop.Loop, channel *platform.Channel, cfg config.Config, s config.Peers) *assignment {
+	a := newAssignment(cfg.Name, cmp.Or(s.Hall, cfg.Settings.Zone), s)
+	channel.Partition(a.owner())
+	a.use = channel.Own
+	l.After(presumedFor, a.presume)
+	return a
+}
+
+// newAssignment takes the members that the operators' file names to be there.
+func newAssignment(name, zone string, s config.Peers) *assignment {
+	a := &assignment{regions: s.Regions, self: name, presumed: []shard.Member{{Name: name, Zone: zone}}}
 	for _, m := range s.Members {
 		a.presumed = append(a.presumed, shard.Member{Name: m.Name, Zone: m.Zone})
 	}
-	channel.Partition(a.owner())
-	l.After(presumedFor, func() {
-		a.presumed = nil
-		a.assign()
-	})
 	return a
 }
 
+// presume ends the time in which members are taken to be there that the table does not hold.
+func (a *assignment) presume() {
+	if len(a.view) > 0 {
+		a.presumed = nil
+		a.use(a.owner())
+	}
+}
+
 // viewed takes a stable view of the table of members. One without this orchestrator is of a table
 // that it has not joined yet, or that holds another process under its name: it changes nothing.
 func (a *assignment) viewed(members []membership.Member) {
@@ -52,13 +63,7 @@
 	for _, m := range members {
 		a.view = append(a.view, shard.Member{Name: m.Name, Zone: m.Zone})
 	}
-	a.assign()
-}
-
-func (a *assignment) assign() {
-	if len(a.presumed)+len(a.view) > 0 {
-		a.channel.Own(a.owner())
-	}
+	a.use(a.owner())
 }
 
 // owner divides the workers among the members as they are now.
--- a/cmd/ravenhitch/program.go
+++ b/cmd/ravenhitch/program.go
@@ -135,7 +135,7 @@
 	platform.Share(p.front, p.nodes, budget)
 	p.channel = platform.NewChannel(p.l, p.c, p.nodes, cfg.Channel, cfg.DialTimeoutUs, p.log)
 	if edge.Peers.Partition {
-		p.assignment = newAssignment(p.l, p.channel, cfg, edge.Peers)
+		p.assignment = assign(p.l, p.channel, cfg, edge.Peers)
 	}
 	p.channel.Apply(cfg.Known, true)
 	p.channel.Start()
--- a/foreign_test.go
+++ b/foreign_test.go
@@ -156,3 +156,24 @@
 		t.Errorf("expected the fleet to be asked for %g cores, got %g", want, got)
 	}
 }
+
+// TestDividedMachinesAreNotShared asserts that a placer whose machines are divided from the others'
+// counts on the whole room of its own, and takes nobody else to bind there.
+func TestDividedMachinesAreNotShared(t *testing.T) {
+	s := testSettings()
+	s.FleetSize, s.UnitCores, s.UnitMemory = 9, 1, 2
+	own, foreign := small("a", 1, 8), small("b", 2, 8)
+	foreign.State = Foreign
+	shared := newBed(t, s, 1, own).p.room()
+	if divided := newBed(t, s, 1, own, foreign).p.room(); divided <= shared || divided > 9.01*shared {
+		t.Errorf("room for %g units where machines are divided, %g where nine placers share one", divided, shared)
+	}
+	b := newBed(t, s, 1, own, foreign)
+	b.at(10*ms, Pressure{Pace: 1})
+	for _, ticket := range []string{"1", "2", "3", "4"} {
+		b.at(10*ms, b.request(ticket, "safe", 1, 1))
+	}
+	if b.p.crowd = true; b.p.othersBinds() != [2]float64{} {
+		t.Errorf("others are taken to bind %v at machines that they are offered nothing at", b.p.othersBinds())
+	}
+}
