Give proxies their time from when they were asked; test what mutations left standing

Seen: others are asked at the first call 200 ms after the probe, which may be 250 ms after it, and a refusal was concluded 300 ms after it. Line: probe.go overdue. Now their time counts from when they were asked.

--- a/foreign_test.go
+++ b/foreign_test.go
@@ -177,3 +177,49 @@
 		t.Errorf("others are taken to bind %v at machines that they are offered nothing at", b.p.othersBinds())
 	}
 }
+
+// TestPreferredMachinesFollowHands asserts that the machines which come first for a program are those
+// of the placer as they are now.
+func TestPreferredMachinesFollowHands(t *testing.T) {
+	var entries []Entry
+	for i := range 100 {
+		entries = append(entries, small(fmt.Sprint("m", i), i, 4))
+	}
+	bed := newBed(t, testSettings(), 1, entries...)
+	bed.p.settle()
+	bed.p.hashedFirst(7)
+	var own []Entry
+	for i := range entries {
+		if entries[i].State = Foreign; i%2 == 0 {
+			entries[i].State = Ready
+			own = append(own, entries[i])
+		}
+	}
+	bed.at(10*ms, List{Kind: ListDelta, Entries: entries})
+	bed.p.settle()
+	alone := newBed(t, testSettings(), 1, own...)
+	alone.p.settle()
+	if got, want := names(bed.p.hashedFirst(7)), names(alone.p.hashedFirst(7)); got != want {
+		t.Errorf("%s come first, expected %s", got, want)
+	}
+}
+
+// TestHalfOfOwnMachinesStayOpen asserts that held tasks keep half of the placer's own machines from
+// others at most, however many foreign ones there are.
+func TestHalfOfOwnMachinesStayOpen(t *testing.T) {
+	entries := []Entry{small("a", 1, 0), small("b", 2, 0), small("c", 3, 0), small("d", 4, 0)}
+	for i := range 40 {
+		e := small(fmt.Sprint("f", i), 5+i, 0)
+		e.State = Foreign
+		entries = append(entries, e)
+	}
+	s := testSettings()
+	s.CoresMultiple, s.MemoryMultiple = 1, 1
+	bed := newBed(t, s, 1, entries...)
+	for i := range 10 {
+		bed.at(0, bed.request(fmt.Sprint(i), "safe", 1+float64(i), 1))
+	}
+	if kept := len(bed.p.kept); kept != 2 {
+		t.Errorf("%d machines are kept for held tasks, expected 2 of the 4 own ones", kept)
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -204,9 +204,6 @@
 		return t.ticked + tickEvery
 	}
 	next := t.probeAt
-	if t.live < len(t.names) || t.unmet() {
-		next = min(next, t.deadAt)
-	}
 	for _, p := range t.probes {
 		if m := t.members[p.name]; m != nil && !p.acked {
 			next = min(next, p.at+t.direct(m))
@@ -223,12 +220,7 @@
 	case len(t.asks) > 0, len(t.accused) > 0, len(t.soon) > 0:
 		return false
 	}
-	return !slices.ContainsFunc(t.probes, func(p *probe) bool { return p.second })
-}
-
-// unmet reports whether a peer of the settings was never heard of.
-func (t *Table) unmet() bool {
-	return slices.ContainsFunc(t.Peers, func(p Peer) bool { return t.members[p.Name] == nil })
+	return true
 }
 
 // take returns the acts gathered so far.
--- a/internal/membership/pace_test.go
+++ b/internal/membership/pace_test.go
@@ -44,3 +44,17 @@
 		t.Errorf("asked for a third it wants to be called at %d, calm at %d", next, calm)
 	}
 }
+
+// TestPaceOfTwo asserts that the only other member is probed each time, though timers are late by
+// some more or less each time.
+func TestPaceOfTwo(t *testing.T) {
+	const seconds = 20
+	f := newFleet(2, 7, nil)
+	f.run(formed(2))
+	before := f.all[0].seq
+	f.run(f.now + seconds*second)
+	probes, due := f.all[0].seq-before, uint64(seconds*second/f.all[0].Every)
+	if probes < due*9/10 {
+		t.Errorf("%d probes in %d s, %d are due", probes, seconds, due)
+	}
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -13,12 +13,12 @@
 	name            string
 	life, seq       uint64
 	at              int64
-	second          bool // others were asked
-	acked, reached  bool // by itself; by another
-	heard, nacks    bool // its own ping came there; a proxy said that it could not
-	handshake       bool // a handshake probe was asked for
-	refused, silent bool // of that: no process listens there; nothing came in time
-	told            bool // by a proxy that reached it
+	askedAt         int64 // when others were asked, 0 while they were not
+	acked, reached  bool  // by itself; by another
+	heard, nacks    bool  // its own ping came there; a proxy said that it could not
+	handshake       bool  // a handshake probe was asked for
+	refused, silent bool  // of that: no process listens there; nothing came in time
+	told            bool  // by a proxy that reached it
 }
 
 // ask is what another asked for.
@@ -184,14 +184,14 @@
 		if m == nil || m.Life != p.life || m.State >= Dead {
 			return true
 		}
-		if !p.second && !p.acked && t.now-p.at >= t.direct(m) {
-			p.second, p.handshake = true, true
+		if p.askedAt == 0 && !p.acked && t.now-p.at >= t.direct(m) {
+			p.askedAt, p.handshake = t.now, true
 			for _, o := range t.proxies(m) {
 				t.send(o, Message{Kind: Ask, Seq: p.seq, Target: m.Name})
 			}
 			t.acts = append(t.acts, HandshakeProbe{Name: m.Name, Addr: t.reach(m.Name)})
 		}
-		done := p.acked && t.now-p.at >= t.Direct-tickEvery/2 || p.refused && t.now-p.at >= t.direct(m)+t.Direct/2 ||
+		done := p.acked && t.now-p.at >= t.Direct-tickEvery/2 || p.refused && t.now-p.askedAt >= t.Direct/2 ||
 			t.now-p.at >= t.Whole*int64(1+t.health)
 		if done {
 			over = append(over, p)
--- a/internal/platform/worker_link_test.go
+++ b/internal/platform/worker_link_test.go
@@ -150,3 +150,39 @@
 		}
 	}
 }
+
+// A worker of another orchestrator where nothing stands is not dialled again after a failure, and what
+// was released there and not heard of is forgotten in time.
+func TestForeignWorkerIsLeftAlone(t *testing.T) {
+	b := newLinkBench(t)
+	b.n.Own(func(string) bool { return false })
+	b.n.Update("a", b.ln.Addr().String(), true)
+	k := b.n.links["a"]
+	k.unheard = map[string]int64{"t1": b.l.Now() - unheardFor - 1}
+	k.later()
+	over := false
+	b.l.After(2*minRedial+sweepNodes, func() { over = true }) // behind the dial and a look at all workers
+	b.until(func() bool { return over })
+	if len(k.conns) != 0 {
+		t.Error("it was dialled")
+	}
+	if len(k.unheard) != 0 {
+		t.Error("a release that nobody heard of is kept")
+	}
+}
+
+// The end of a task that is not known yet is told once its client hands it in.
+func TestEndAheadOfHandIn(t *testing.T) {
+	b := newLinkBench(t)
+	b.n.Update("a", b.ln.Addr().String(), true)
+	nc := b.n.links["a"].conns[0]
+	nc.message(&Message{Verb: verbFinish, Tag: "t1", RC: causeGivenUp, HasRC: true})
+	b.stands("t1")
+	b.stands("t2")
+	nc.message(&Message{Verb: verbFinish, Tag: "t3", RC: causeFull, HasRC: true}) // no task's end
+	b.stands("t3")
+	b.until(func() bool { return !b.core.Stands("t1") })
+	if !b.core.Stands("t2") || !b.core.Stands("t3") {
+		t.Error("another task was ended")
+	}
+}
