--- a/internal/membership/pace_test.go
+++ b/internal/membership/pace_test.go
@@ -58,3 +58,25 @@
 		t.Errorf("%d probes in %d s, %d are due", probes, seconds, due)
 	}
 }
+
+// TestHeldUp asserts that a table doubts itself where it is called lateTick after it wanted to be, and
+// not before, however long its last call is ago.
+func TestHeldUp(t *testing.T) {
+	f := newFleet(3, 8, nil)
+	f.run(formed(3) + 10*second)
+	x := f.all[0]
+	for _, c := range []struct {
+		late  int64
+		doubt bool
+	}{{lateTick, false}, {lateTick + 1, true}} {
+		x.Events()
+		x.Tick(x.Next() + c.late)
+		doubts := false
+		for _, e := range x.Events() {
+			doubts = doubts || e.Kind == Doubts
+		}
+		if doubts != c.doubt {
+			t.Errorf("called %d us late it doubts itself: %v", c.late, doubts)
+		}
+	}
+}
--- a/internal/platform/worker_link_test.go
+++ b/internal/platform/worker_link_test.go
@@ -163,7 +163,7 @@
 	over := false
 	b.l.After(2*minRedial+sweepNodes, func() { over = true }) // behind the dial and a look at all workers
 	b.until(func() bool { return over })
-	if len(k.conns) != 0 {
+	if len(k.conns) != 0 || k.openedAt != 0 {
 		t.Error("it was dialled")
 	}
 	if len(k.unheard) != 0 {
