--- a/internal/membership/pace_test.go
+++ b/internal/membership/pace_test.go
@@ -59,9 +59,9 @@
 	}
 }
 
-// TestHeldUp asserts that a table doubts itself where it is called lateTick after it wanted to be, and
+// TestCalledLate asserts that a table doubts itself where it is called lateTick after it wanted to be, and
 // not before, however long its last call is ago.
-func TestHeldUp(t *testing.T) {
+func TestCalledLate(t *testing.T) {
 	f := newFleet(3, 8, nil)
 	f.run(formed(3) + 10*second)
 	x := f.all[0]
