Tell room late where the workers are divided, and divide zones in 64 shards

One orchestrator had 376 workers and another 471, as 16 shards of a zone are few to share among three.

The look at all workers twice a second asks of foreign ones only where tasks stand.

TestSourceTellsRoomLate, TestPartitionHandsOver.

--- a/internal/core/holdings.go
+++ b/internal/core/holdings.go
@@ -3,7 +3,10 @@
 // This file keeps which requests take room at which node: those that stand, that are being ended,
 // and that were set aside since the node is silent. It must never decide what becomes of them.
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // holdings are the requests at each node, in no order.
 type holdings map[string][]*request
@@ -43,6 +46,9 @@
 // Holds reports whether anything stands at a node, or is being ended there.
 func (c *Core) Holds(node string) bool { return len(c.holdings[node]) > 0 }
 
+// Holders are the nodes at which anything stands, or is being ended, by name.
+func (c *Core) Holders() []string { return slices.Sorted(maps.Keys(c.holdings)) }
+
 // orphans are the tasks that have stood for orphanAfter at a node that no list names, by tag, so that
 // the same happenings give the same actions.
 func (c *Core) orphans() (found []*request) {
--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -153,13 +153,14 @@
 }
 
 func (ch *Channel) ask() {
+	block := ch.partition.block()
 	ch.c.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d%s HTTP/1.1\r\nHost: %s\r\n\r\n",
-		ch.cursor, blockMs, ch.partition.ask(), ch.addr)))
+		ch.cursor, block, ch.partition.ask(), ch.addr)))
 	if ch.askedAt == 0 {
 		ch.askedAt = ch.l.Now()
 	}
 	ch.limit.Stop()
-	ch.limit = ch.l.After(blockMs*1000+answerSlack, func() {
+	ch.limit = ch.l.After(block*1000+answerSlack, func() {
 		ch.log.Warn("the command channel is silent", "cursor", ch.cursor)
 		ch.startIn(0)
 	})
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -129,10 +129,15 @@
 // sweep looks at each worker.
 func (n *Nodes) sweep() {
 	for _, k := range n.sorted() {
-		if k.own || len(k.conns) > 0 || len(k.unheard) > 0 || n.core.Holds(k.id) {
+		if k.own || len(k.conns) > 0 || len(k.unheard) > 0 {
 			k.sweep(n.core.Holding(k.id), n.l.Now())
 		}
 	}
+	for _, id := range n.core.Holders() { // others where tasks stand
+		if k := n.links[id]; k != nil && !k.own && len(k.conns) == 0 {
+			k.sweep(n.core.Holding(id), n.l.Now())
+		}
+	}
 	n.l.After(sweepNodes, n.sweep)
 }
 
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -61,6 +61,19 @@
 	return found
 }
 
+// lateRoomMs is how long a call may wait where the workers are divided: nobody else places tasks at
+// those of this orchestrator, so that their room changes by what it does itself, and news of nothing
+// but that may come together.
+const lateRoomMs = 4000
+
+// block is how long a call may wait for news, in milliseconds.
+func (p *partition) block() int64 {
+	if p == nil {
+		return blockMs
+	}
+	return lateRoomMs
+}
+
 // ask is the part of a call that tells the command channel whose room is wanted, and whose is to
 // be told anew.
 func (p *partition) ask() string {
@@ -68,13 +81,16 @@
 		return ""
 	}
 	p.asked = p.wanted
-	text := "&shards=" + inQuery(p.wanted)
+	text := "&room=late&shards=" + inQuery(p.wanted)
 	if won := p.wanted.Minus(p.held); won.Len() > 0 {
 		text += "&fresh=" + inQuery(won)
 	}
 	return text
 }
 
+// wins reports whether shards are wanted that were not asked for yet.
+func (p *partition) wins() bool { return p.wanted.Minus(p.held).Minus(p.asked).Len() > 0 }
+
 // inQuery is a set as the value in a URL's query: all its characters may stand there but one.
 func inQuery(s shard.Set) string { return strings.ReplaceAll(s.String(), "%", "%25") }
 
@@ -100,6 +116,9 @@
 	if ch.partition.want(owner) {
 		ch.owned()
 	}
+	if ch.c != nil && ch.partition.wins() {
+		ch.startIn(0) // the call under way may wait for long, and does not name what was won
+	}
 }
 
 // listed notes the zones of workers, where these are divided.
--- a/internal/platform/partition_test.go
+++ b/internal/platform/partition_test.go
@@ -33,19 +33,22 @@
 		}
 	}
 	expect("at the start", 0x0f)
-	if text := p.ask(); text != "&shards=z1:000f,z2:000f" || p.answered() {
+	if text := p.ask(); text != "&room=late&shards=z1:000000000000000f,z2:000000000000000f" || p.answered() {
 		t.Errorf("a call names %q", text)
 	}
 	if !p.want(owns(0x3c)) {
 		t.Error("shards were lost")
 	}
 	expect("with shards lost and won", 0x0c)
-	if p.answered() {
+	if p.answered() || !p.wins() {
 		t.Error("a call that was made before the change won shards")
 	}
-	if text := p.ask(); text != "&shards=z1:003c,z2:003c&fresh=z1:0030,z2:0030" {
+	if text := p.ask(); text != "&room=late&shards=z1:000000000000003c,z2:000000000000003c&fresh=z1:0000000000000030,z2:0000000000000030" {
 		t.Errorf("a call for shards that were won names %q", text)
 	}
+	if p.wins() {
+		t.Error("shards that the call under way names are to be asked for")
+	}
 	if p.want(owns(0x1c)) {
 		t.Error("a shard that was not held was lost")
 	}
@@ -62,11 +65,11 @@
 	if !p.listed(listedIn("z3, 100%")) || p.held["z3, 100%"] != 0x1c {
 		t.Errorf("the shards of a zone that was not named are held at once, as it was told whole: %v", p.held)
 	}
-	if text := p.ask(); !strings.HasSuffix(text, ",z3%252C%2520100%2525:001c") {
+	if text := p.ask(); !strings.HasSuffix(text, ",z3%252C%2520100%2525:000000000000001c") {
 		t.Errorf("a zone's name is not escaped: %q", text)
 	}
 	var none *partition
-	if none.ask() != "" || none.answered() {
+	if none.ask() != "" || none.answered() || none.block() != blockMs || p.block() != lateRoomMs {
 		t.Error("without a partition a call names shards")
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -22,13 +22,13 @@
 
 // Count is the number of shards of a zone. It is part of what orchestrators and the source of the list
 // agree on: another number would assign all workers anew.
-const Count = 16
+const Count = 64
 
 // Of is the shard of a worker in its zone, from 0 to Count-1.
 func Of(worker string) int { return int(hash(worker) % Count) }
 
 // Bits are shards of one zone, a bit each.
-type Bits uint16
+type Bits uint64
 
 // AllBits are all shards of a zone.
 const AllBits = ^Bits(0)
@@ -45,7 +45,7 @@
 // Len is the number of shards in the set.
 func (s Set) Len() (n int) {
 	for _, b := range s {
-		n += bits.OnesCount16(uint16(b))
+		n += bits.OnesCount64(uint64(b))
 	}
 	return n
 }
@@ -87,7 +87,7 @@
 	var parts []string
 	for _, zone := range slices.Sorted(maps.Keys(s)) {
 		escaped := strings.ReplaceAll(url.QueryEscape(zone), "+", "%20")
-		parts = append(parts, fmt.Sprintf("%s:%0*x", escaped, bitsDigits, uint16(s[zone])))
+		parts = append(parts, fmt.Sprintf("%s:%0*x", escaped, bitsDigits, uint64(s[zone])))
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -148,7 +148,7 @@
 // drawSet draws a set of shards.
 func drawSet(t *rapid.T, name string) Set {
 	return rapid.MapOf(rapid.SampledFrom(append(testZones, "", "with:colon, and 100%+")), rapid.Custom(func(t *rapid.T) Bits {
-		return Bits(rapid.Uint16().Draw(t, "bits"))
+		return Bits(rapid.Uint64().Draw(t, "bits"))
 	})).Draw(t, name)
 }
 
@@ -181,7 +181,11 @@
 }
 
 func TestParseErrors(t *testing.T) {
-	for _, text := range []string{"a", "a:", "a:12", "a:12345", "a:zzzz", "a:0001,", ",a:0001", "a:0001,a:0001", "a:-001"} {
+	const one = "a:0000000000000001"
+	if s, err := Parse(one); err != nil || !s.Equal(Set{"a": 1}) {
+		t.Errorf("%q: got %v, %v", one, s, err)
+	}
+	for _, text := range []string{"a", "a:", "a:12", one + "0", "a:zzzzzzzzzzzzzzzz", one + ",", "," + one, one + "," + one, "a:-000000000000001"} {
 		if s, err := Parse(text); !errors.Is(err, ErrSet) {
 			t.Errorf("%q: expected ErrSet, got %v, %v", text, s, err)
 		}
--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -266,7 +266,7 @@
 	}{
 		{"room, of a shard that is not named", "&shards=" + others.String(), "", func() { f.Touch(1) }},
 		{"room, of a shard that is named", "&shards=" + mine.String(), w.ID + " ", func() { f.Touch(1) }},
-		{"room, of a zone that is not named", "&shards=elsewhere:ffff", w.ID + " ", func() { f.Touch(1) }},
+		{"room, of a zone that is not named", "&shards=elsewhere:ffffffffffffffff", w.ID + " ", func() { f.Touch(1) }},
 		{"room, without shards", "", w.ID + " ", func() { f.Touch(1) }},
 		{"a state, of a shard that is not named", "&shards=" + others.String(), w.ID + " ", func() { w.List("draining") }},
 		{"room after a state", "&shards=" + others.String(), w.ID + " ", func() { w.List("up"); f.Touch(1) }},
@@ -292,3 +292,31 @@
 		t.Errorf("shards that can't be read: status %d", answer.StatusCode)
 	}
 }
+
+// News of room alone wait for the end of a call that allows it, and the latest of each worker is told;
+// a state is told at once, and with it what waits.
+func TestSourceTellsRoomLate(t *testing.T) {
+	f, _ := newTestFleet(t, 3)
+	s := NewSource(f, time.Hour) // told by hand
+	t.Cleanup(s.Close)
+	asked := call{after: s.Revision(), lateRoom: true}
+	for range 3 {
+		f.Touch(0)
+		s.tell()
+	}
+	if answer, last, more := s.after(&asked); answer != "" || more == nil || last != s.Revision() {
+		t.Errorf("room alone is told at once: %q", answer)
+	}
+	f.Workers[1].List("draining")
+	s.tell()
+	answer, _, _ := s.after(&asked)
+	if ids := parseListed(t, []byte(answer)).ids(); ids != f.Workers[0].ID+" "+f.Workers[1].ID+" " {
+		t.Errorf("with a state %q is told", ids)
+	}
+	asked.after, asked.lateRoom = s.Revision(), false
+	f.Touch(2)
+	s.tell()
+	if answer, _, _ = s.after(&asked); parseListed(t, []byte(answer)).ids() != f.Workers[2].ID+" " {
+		t.Errorf("without leave to be late %q is told", answer)
+	}
+}
--- a/internal/standin/hollow/source.go
+++ b/internal/standin/hollow/source.go
@@ -45,20 +45,23 @@
 
 // eventEntry is the entry of a worker as text.
 type eventEntry struct {
-	text, zone, worker string
-	toAll              bool // it tells more than the worker's room
+	text   string
+	worker *Worker
+	toAll  bool // it tells more than the worker's room
 }
 
-// textsFor are the entries that an orchestrator is told: those of its shards, of zones that it does
-// not name, and whatever tells more than room.
-func (e *event) textsFor(shards shard.Set) (texts []string) {
-	for _, entry := range e.entries {
-		_, named := shards[entry.zone]
-		if entry.toAll || !named || shards.Has(entry.zone, entry.worker) {
-			texts = append(texts, entry.text)
-		}
-	}
-	return texts
+// call is what an orchestrator asks for.
+type call struct {
+	base, after int       // the revision before its first event, and the last one that it has heard
+	shards      shard.Set // whose room it wants
+	lateRoom    bool      // room alone is told at the end of its wait
+}
+
+// wants reports whether it is told an entry: one of its shards, of a zone that it does not name, and
+// whatever tells more than room.
+func (c *call) wants(e *eventEntry) bool {
+	_, named := c.shards[e.worker.Zone]
+	return e.toAll || !named || c.shards.Has(e.worker.Zone, e.worker.ID)
 }
 
 // NewSource starts a source that tells changes at an interval.
@@ -221,6 +224,7 @@
 	block, _ := strconv.Atoi(query.Get("block"))
 	shards, err := shard.Parse(query.Get("shards"))
 	fresh, freshErr := shard.Parse(query.Get("fresh"))
+	asked := call{after: after, shards: shards, lateRoom: query.Get("room") == "late" && fresh.Len() == 0}
 	if err = cmp.Or(err, freshErr); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -229,13 +233,13 @@
 		u.source.tellFresh(fresh)
 	}
 	u.mutex.Lock()
-	base := u.base
-	u.heard = base + after
+	asked.base = u.base
+	u.heard = asked.base + after
 	u.mutex.Unlock()
 	limit := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		answer, last, more := u.source.after(base, after, shards)
+		answer, last, more := u.source.after(&asked)
 		if answer != "" {
 			io.WriteString(w, answer)
 			return
@@ -243,7 +247,11 @@
 		select {
 		case <-more:
 		case <-limit.C:
-			fmt.Fprintf(w, `{"cursor":%d,"cmds":[]}`, last)
+			asked.lateRoom = false
+			if answer, last, _ = u.source.after(&asked); answer == "" {
+				answer = fmt.Sprintf(`{"cursor":%d,"cmds":[]}`, last)
+			}
+			io.WriteString(w, answer)
 			return
 		case <-r.Context().Done():
 			return
@@ -251,29 +259,46 @@
 	}
 }
 
-// after is the answer with what follows a cursor in some shards, or "" and where more will be
-// noticed; last is the cursor of the last event.
-func (s *Source) after(base, cursor int, shards shard.Set) (answer string, last int, more <-chan struct{}) {
+// after is the answer to a call, or "" and where more will be noticed; last is the cursor of the
+// last event.
+func (s *Source) after(asked *call) (answer string, last int, more <-chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	heard := base + cursor
-	last = max(cursor, s.revision-base)
+	heard := asked.base + asked.after
+	last = max(asked.after, s.revision-asked.base)
 	if s.revision > heard && (len(s.events) == 0 || s.events[0].revision > heard+1) {
 		return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, s.whole(last)), last, nil
 	}
-	var events []string
+	entries, urgent := s.since(heard, asked)
+	if len(entries) == 0 || asked.lateRoom && !urgent {
+		return "", last, s.more
+	}
+	return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, eventText(last, s.revision, false, entries)), last, nil
+}
+
+// since are the entries that a call is told of what changed after a revision, the latest of each worker,
+// and whether any tells more than room. The lock is held.
+func (s *Source) since(heard int, asked *call) (texts []string, urgent bool) {
+	at := map[*Worker]int{}
 	for _, e := range s.events {
 		if e.revision <= heard {
 			continue
 		}
-		if texts := e.textsFor(shards); len(texts) > 0 {
-			events = append(events, eventText(e.revision-base, e.revision, false, texts))
+		for i := range e.entries {
+			entry := &e.entries[i]
+			if !asked.wants(entry) {
+				continue
+			}
+			urgent = urgent || entry.toAll
+			place, there := at[entry.worker]
+			if !there {
+				place = len(texts)
+				at[entry.worker], texts = place, append(texts, "")
+			}
+			texts[place] = entry.text
 		}
 	}
-	if len(events) == 0 {
-		return "", last, s.more
-	}
-	return fmt.Sprintf(`{"cursor":%d,"cmds":[%s]}`, last, strings.Join(events, ",")), last, nil
+	return texts, urgent
 }
 
 // Close ends the channel.
--- a/internal/standin/hollow/worker.go
+++ b/internal/standin/hollow/worker.go
@@ -319,5 +319,5 @@
 
 // eventEntry is its entry of the list as part of an event.
 func (w *Worker) eventEntry(what change) eventEntry {
-	return eventEntry{text: w.entry(), zone: w.Zone, worker: w.ID, toAll: what == changedState}
+	return eventEntry{text: w.entry(), worker: w, toAll: what == changedState}
 }
