--- a/internal/standin/hollow/source.go
+++ b/internal/standin/hollow/source.go
@@ -155,6 +155,13 @@
 		strings.Join(entries, ","))
 }
 
+// Pending reports whether anything changed that is not told yet.
+func (s *Source) Pending() bool {
+	s.fleet.mutex.Lock()
+	defer s.fleet.mutex.Unlock()
+	return len(s.fleet.changed) > 0
+}
+
 // Close ends the source. Its subscriptions end by their own Close.
 func (s *Source) Close() {
 	close(s.stop)
--- a/test/scale/rig_test.go
+++ b/test/scale/rig_test.go
@@ -239,7 +239,7 @@
 		})
 	}
 	group.Wait()
-	if told := r.source.Revision() + 1; !r.until(func() bool { return r.heard(told) }) {
+	if !r.until(func() bool { return !r.source.Pending() && r.heard(r.source.Revision()) }) {
 		r.t.Log("scale-finding: not everybody was told the room that the tasks leave that run already")
 	}
 	for _, o := range r.orchestrators {
