--- a/internal/platform/channel.go
+++ b/internal/platform/channel.go
@@ -95,7 +95,7 @@
 		if ev.Complete {
 			ch.nodes.Reset(named)
 		}
-		ch.listed(ev.Members)
+		ch.listed(ev.Members, ev.Complete)
 		for _, m := range ev.Members {
 			ch.nodes.Update(m.Machine, m.Addr, m.State != ravenhitch.Gone)
 			ch.nodes.Started(m.Machine, m.StartUs)
--- a/internal/platform/limited_log.go
+++ b/internal/platform/limited_log.go
@@ -26,6 +26,9 @@
 // NewLimited returns a Limited over log.
 func NewLimited(log *slog.Logger) *Limited { return &Limited{log: log, seen: map[string]*burst{}} }
 
+// Info logs a line, without a limit.
+func (l *Limited) Info(text string, args ...any) { l.log.Info(text, args...) }
+
 // Warn logs a line, unless the text had its lines of this second.
 func (l *Limited) Warn(text string, args ...any) {
 	b := l.seen[text]
--- a/internal/platform/partition.go
+++ b/internal/platform/partition.go
@@ -9,6 +9,7 @@
 	"maps"
 	"strings"
 
+	"ravenhitch"
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/shard"
 )
@@ -43,10 +44,18 @@
 	return lost
 }
 
-// listed notes the zones of workers. Those of a zone that was not named are told to everybody, so
-// the shards of a new zone are held at once; it reports whether there is one.
-func (p *partition) listed(members []config.Member) (found bool) {
+// listed notes the zones of workers, of those alone where the list is whole. Those of a zone that was
+// not named are told to everybody, so the shards of a new zone are held at once; it reports whether
+// there is one.
+func (p *partition) listed(members []config.Member, whole bool) (found bool) {
+	if whole {
+		clear(p.zones)
+	}
 	for _, m := range members {
+		if m.State == ravenhitch.Gone {
+			delete(p.zones, m.Machine)
+			continue
+		}
 		p.zones[m.Machine] = m.Zone
 		if _, there := p.wanted[m.Zone]; there {
 			continue
@@ -122,8 +131,8 @@
 }
 
 // listed notes the zones of workers, where these are divided.
-func (ch *Channel) listed(members []config.Member) {
-	if ch.partition != nil && ch.partition.listed(members) {
+func (ch *Channel) listed(members []config.Member, whole bool) {
+	if ch.partition != nil && ch.partition.listed(members, whole) {
 		ch.owned()
 	}
 }
@@ -134,5 +143,5 @@
 	own := func(worker string) bool { return held.Has(zones[worker], worker) }
 	ch.nodes.Own(own)
 	ch.core.Own(ch.l.Now(), own)
-	ch.log.log.Info("the workers of this orchestrator", "shards", held.Len(), "wanted", ch.partition.wanted.Len())
+	ch.log.Info("the workers of this orchestrator", "shards", held.Len(), "wanted", ch.partition.wanted.Len())
 }
--- a/internal/platform/partition_test.go
+++ b/internal/platform/partition_test.go
@@ -23,7 +23,7 @@
 // answered, and only if it is still wanted.
 func TestPartitionHandsOver(t *testing.T) {
 	p := newPartition(owns(0x0f))
-	if !p.listed(listedIn("z1", "z2")) || p.listed(listedIn("z2", "z1")) {
+	if !p.listed(listedIn("z1", "z2"), true) || p.listed(listedIn("z2", "z1"), false) {
 		t.Error("a zone is new once")
 	}
 	expect := func(when string, held shard.Bits) {
@@ -62,7 +62,7 @@
 	if p.want(owns(0x1c)) {
 		t.Error("the same shards count as lost")
 	}
-	if !p.listed(listedIn("z3, 100%")) || p.held["z3, 100%"] != 0x1c {
+	if !p.listed(listedIn("z3, 100%"), false) || p.held["z3, 100%"] != 0x1c {
 		t.Errorf("the shards of a zone that was not named are held at once, as it was told whole: %v", p.held)
 	}
 	if text := p.ask(); !strings.HasSuffix(text, ",z3%252C%2520100%2525:000000000000001c") {
@@ -73,3 +73,17 @@
 		t.Error("without a partition a call names shards")
 	}
 }
+
+// Of workers that have left the list nothing is kept: their names are new ones for ever.
+func TestPartitionForgetsWorkers(t *testing.T) {
+	p := newPartition(owns(1))
+	p.listed(listedIn("z1", "z1", "z1"), true)
+	gone := listedIn("z1")
+	gone[0].State = ravenhitch.Gone
+	if p.listed(gone, false); len(p.zones) != 2 {
+		t.Errorf("%d workers are known after one of three has gone", len(p.zones))
+	}
+	if p.listed(listedIn("z1"), true); len(p.zones) != 1 {
+		t.Errorf("%d workers are known after a whole list of one", len(p.zones))
+	}
+}
