--- a/internal/standin/hollow/source.go
+++ b/internal/standin/hollow/source.go
@@ -246,7 +246,7 @@
 	limit := time.NewTimer(time.Duration(block) * time.Millisecond)
 	defer limit.Stop()
 	for {
-		answer, last, more := u.source.after(&asked)
+		answer, _, more := u.source.after(&asked)
 		if answer != "" {
 			io.WriteString(w, answer)
 			return
@@ -255,7 +255,8 @@
 		case <-more:
 		case <-limit.C:
 			asked.lateRoom = false
-			if answer, last, _ = u.source.after(&asked); answer == "" {
+			answer, last, _ := u.source.after(&asked)
+			if answer == "" {
 				answer = fmt.Sprintf(`{"cursor":%d,"cmds":[]}`, last)
 			}
 			io.WriteString(w, answer)
