--- a/internal/standin/hollow/hollow_test.go
+++ b/internal/standin/hollow/hollow_test.go
@@ -179,12 +179,14 @@
 	return l
 }
 
-func ask(t *testing.T, u *Subscription, resume int) listed { return askFor(t, u, resume, "") }
+func ask(t *testing.T, u *Subscription, resume int) listed {
+	return askFor(t, u, resume, "&block=5000")
+}
 
 // askFor asks with further parameters.
 func askFor(t *testing.T, u *Subscription, resume int, parameters string) listed {
 	t.Helper()
-	answer, err := http.Get("http://" + u.Address() + "/cmd/next?block=20&resume=" + strconv.Itoa(resume) + parameters)
+	answer, err := http.Get("http://" + u.Address() + "/cmd/next?resume=" + strconv.Itoa(resume) + parameters)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -196,15 +198,22 @@
 	return parseListed(t, text)
 }
 
-func TestSourceTellsChanges(t *testing.T) {
-	f, _ := newTestFleet(t, 3)
-	s := NewSource(f, time.Hour) // told by hand
+// newTestSource makes a source whose changes are told by hand, and a subscription to it.
+func newTestSource(t *testing.T, f *Fleet) (*Source, *Subscription) {
+	t.Helper()
+	s := NewSource(f, time.Hour)
 	t.Cleanup(s.Close)
 	u, err := s.Subscribe()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(u.Close)
+	return s, u
+}
+
+func TestSourceTellsChanges(t *testing.T) {
+	f, _ := newTestFleet(t, 3)
+	s, u := newTestSource(t, f)
 	known := parseListed(t, []byte(u.Known()))
 	if known.Cursor != 1 || !known.Cmds[0].Nodes.Complete || len(known.Cmds[0].Nodes.Members) != 3 {
 		t.Errorf("expected a whole list of 3 as event 1, got %+v", known)
@@ -245,13 +254,7 @@
 // whether they are there; those of zones that it does not name, and those it asks for anew.
 func TestSourceTellsShards(t *testing.T) {
 	f, _ := newTestFleet(t, 3)
-	s := NewSource(f, time.Hour) // told by hand
-	t.Cleanup(s.Close)
-	u, err := s.Subscribe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(u.Close)
+	s, u := newTestSource(t, f)
 	u.Known()
 	w := f.Workers[1]
 	others := shard.Set{}
@@ -275,7 +278,7 @@
 		from := s.Revision()
 		c.change()
 		s.tell()
-		answer := askFor(t, u, from, c.parameters)
+		answer := askFor(t, u, from, "&block=20"+c.parameters)
 		if answer.ids() != c.ids {
 			t.Errorf("%s: told of %q, expected %q", c.what, answer.ids(), c.ids)
 		}
@@ -297,8 +300,7 @@
 // a state is told at once, and with it what waits.
 func TestSourceTellsRoomLate(t *testing.T) {
 	f, _ := newTestFleet(t, 3)
-	s := NewSource(f, time.Hour) // told by hand
-	t.Cleanup(s.Close)
+	s, _ := newTestSource(t, f)
 	asked := call{after: s.Revision(), lateRoom: true}
 	for range 3 {
 		f.Touch(0)
