Test that a task sent away before its acceptance is read is not begun again

Symptom: a client's task is over at its worker, and the client is not told in time.

The test lets a stand-in worker accept a task, hold back its acceptance and send the task away (FINISH 41, note drained). New in testbed: tasks held-, Worker.SendAway.

--- a/internal/testbed/message.go
+++ b/internal/testbed/message.go
@@ -25,6 +25,7 @@
 	codeEnded     = 16
 	codeCancelled = 31
 	codeRejected  = 34
+	codeReset     = 41
 	codeFailed    = 47
 )
 
@@ -67,6 +68,13 @@
 	return line
 }
 
+// drainedLine returns the message that a draining worker has sent a task away.
+func drainedLine(requestID string) Line {
+	line := FinishLine("FINISH", requestID, codeReset)
+	line.Opts["note"] = "drained"
+	return line
+}
+
 // Send writes a message. That the other side is gone shows when reading.
 func Send(w io.Writer, l Line) {
 	b, err := json.Marshal(l)
--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -205,8 +205,15 @@
 // its offer while that looks open here, else on any open one, and also on the next one
 // opened.
 func (w *Worker) SendFinish(requestID string, rc int) {
+	w.sendEnd(requestID, FinishLine("FINISH", requestID, rc))
+}
+
+// SendAway ends a running task as a draining worker does, reported as SendFinish has it.
+func (w *Worker) SendAway(requestID string) { w.sendEnd(requestID, drainedLine(requestID)) }
+
+// sendEnd ends a running task, and reports that with a message.
+func (w *Worker) sendEnd(requestID string, line Line) {
 	w.Attempts.ended(w.Name, requestID)
-	line := FinishLine("FINISH", requestID, rc)
 	w.mu.Lock()
 	conn := w.offerConnections[requestID]
 	delete(w.running, requestID)
--- a/internal/testbed/worker_script.go
+++ b/internal/testbed/worker_script.go
@@ -12,7 +12,8 @@
 // error-, silent- or reset-. A task missed- is silent at the first attempt of a request and
 // ok at those after, at whatever worker. What is half- or bare- is invalid at the first offer
 // of a task and fine at the next; twice- is a duplicate and a foreign answer. A task brief- is
-// over before it was accepted: one message says both.
+// over before it was accepted: one message says both. A task held- runs, and its acceptance
+// never comes.
 func (w *Worker) answerByScript(conn net.Conn, line Line) {
 	key := line.Opts["key"]
 	w.mu.Lock()
@@ -36,6 +37,8 @@
 		finished, blob := FinishLine("FINISH", line.Tag, codeEnded), w.Name+" held "+*line.Blob
 		finished.Blob = &blob
 		Send(conn, finished)
+	case "held":
+		w.runTask(line.Tag)
 	case "full":
 		w.Attempts.ended(w.Name, line.Tag)
 		Send(conn, rejectedLine(line.Tag, "busy"))
@@ -73,11 +76,16 @@
 
 // startTask lets a task run and answers its offer.
 func (w *Worker) startTask(conn net.Conn, requestID, description string) {
+	w.runTask(requestID)
+	Send(conn, startedLine(requestID, w.Name+" holds "+description))
+}
+
+// runTask lets a task run, and answers nothing.
+func (w *Worker) runTask(requestID string) {
 	w.mu.Lock()
 	w.running[requestID] = true
 	w.mu.Unlock()
 	w.Attempts.accepted(w.Name, requestID)
-	Send(conn, startedLine(requestID, w.Name+" holds "+description))
 }
 
 // answerInvalid answers with half a message, or with one that lacks its blob.
