Fail a request at once whose task ended before its acceptance was read

Callers saw: their task was over at its worker and they were not told within 1 s. What they got was the start of a second run elsewhere, whose end came seconds later.

Cause: a draining worker sends tasks away with FINISH 41 and the note drained. Where the STARTED before it was lost or held up, TaskEnded took that for an offer that broke on its way (a reset), and a class that may be repeated was offered again.

Mend: an end by which the task ran (code 16, or 41 with oom, preempted or drained) ends the request with a failure at once, whatever its class. It holds since such a note cannot stand for an offer that never ran, and since the client gets its one final answer in the turn in which the end is read. The scheduler takes the worker for draining, and for no error.

--- a/cmd/ravenhitch/sent_away_test.go
+++ b/cmd/ravenhitch/sent_away_test.go
@@ -8,8 +8,17 @@
 	"ravenhitch/internal/testbed"
 )
 
-// A worker accepts a task and sends it away before its acceptance is read. The request is to be answered at once, and
-// not to be offered again: its task ran and is over.
+// A worker accepts tasks, and begins to drain before its acceptance is read: it sends them away, each with a FINISH of
+// code 41 and the note drained. Such a note says that the task ran, so the request is over and its client is owed that
+// at once. Instead the end was taken for that of an offer which broke on its way, and a task that may be repeated was
+// begun again elsewhere.
+//
+// In each broken play that was traced, every request that the rule names had one line
+//
+//	msg="worker ended offer" code=41 note=drained description=false
+//
+// and after it an offer to another worker; those of the same line that broke nothing were answered, or ended for the
+// second time, within the second.
 func TestTaskSentAwayBeforeItsAcceptance(t *testing.T) {
 	for _, class := range []string{"guide-web", "archive-cut"} {
 		t.Run(class, func(t *testing.T) {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -46,6 +46,18 @@
 	d.arm(r, r.deadline)
 }
 
+// unacceptedTaskEnded takes the end of a task that ran and whose acceptance was not read. What ran and is over is
+// reported to its client within a second, whatever its class: another attempt would begin the task anew instead, and
+// outlast that. Its client cannot be sent an acceptance, since the worker's description is not known.
+func (d *Dispatcher) unacceptedTaskEnded(r *request, cause placement.Cause) {
+	d.log.Info("task ended before its acceptance", "request_id", r.RequestID, "worker", r.worker)
+	d.counts.Reset++
+	d.setMayHaveRun(r)
+	d.transition(r, eventAttemptEnded)
+	d.reportAttemptEnded(r, placement.Reset, cause, true)
+	d.fail(r)
+}
+
 // setMayHaveRun notes that the attempt of r which is open, or was last, may have started.
 func (d *Dispatcher) setMayHaveRun(r *request) {
 	if r.mayHaveRun {
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -116,3 +116,44 @@
 		t.Errorf("completed %v, want %v; %d tasks run", completed, want, h.RunningCount())
 	}
 }
+
+// An end that says that the task ran, though its acceptance was not read, ends the request at once: its client gets a
+// failure, and nothing is offered again. An end that does not say so leads to another attempt.
+func TestTaskEndedBeforeItsAcceptance(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome placement.Outcome
+		cause   placement.Cause
+		ran     bool
+	}{
+		{"completed", placement.Completed, placement.CauseUnknown, true},
+		{"evicted", placement.Reset, placement.CauseEvicted, true},
+		{"preempted", placement.Reset, placement.CausePreempted, true},
+		{"sent away", placement.Reset, placement.CauseDrained, true},
+		{"reset without a cause", placement.Reset, placement.CauseUnknown, false},
+		{"rejected by a draining worker", placement.Rejected, placement.CauseDrained, false},
+		{"cancelled", placement.Cancelled, placement.CauseUnknown, false},
+	} {
+		for _, class := range []string{"web", "cut", "all"} {
+			t.Run(test.name+", "+class, func(t *testing.T) {
+				h := newHarness(t)
+				h.updateWorkers(placement.ListFull, placement.Ready, "a", "b")
+				h.mustSubmit("t1", class, "k1", 5000)
+				h.advance(10 * millisecond)
+				worker := h.offered["t1"]
+				delete(h.offered, "t1")
+				h.mayHaveRun["t1"] = test.outcome != placement.Rejected
+				h.TaskEnded(h.now, worker, "t1", test.outcome, test.cause)
+				h.advance(10 * millisecond)
+				kind, answered := h.finalResponses["t1"]
+				if test.ran && (!answered || kind != Failed || len(h.offers) != 1 || h.Contains("t1")) {
+					t.Errorf("response %v (%v), offers %v", kind, answered, h.offers)
+				}
+				if mayRetry := class != "cut" || !h.mayHaveRun["t1"]; !test.ran && mayRetry && len(h.offers) != 2 {
+					t.Errorf("offers %v, response %v (%v)", h.offers, kind, answered)
+				}
+				h.checkTable()
+			})
+		}
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -66,7 +66,11 @@
 	d.trace("worker reported end", r, "outcome", outcome)
 	switch r.state {
 	case stateOffered:
-		if outcome == placement.Completed || outcome == placement.Cancelled {
+		switch {
+		case hasRun(outcome, cause):
+			d.unacceptedTaskEnded(r, cause)
+			return
+		case outcome == placement.Cancelled:
 			outcome = placement.Reset // an end without a start
 		}
 		d.attemptEnded(r, outcome, cause)
@@ -80,6 +84,12 @@
 	}
 }
 
+// hasRun reports whether the end of an attempt says that its task ran, though its acceptance was not read: the task ended
+// as it should, or for a cause for which only an accepted task ends.
+func hasRun(outcome placement.Outcome, cause placement.Cause) bool {
+	return outcome == placement.Completed || outcome == placement.Reset && cause.EndsTask()
+}
+
 // isTaskOutcome reports whether a running task may end with an outcome.
 func isTaskOutcome(outcome placement.Outcome) bool {
 	return outcome == placement.Completed || outcome == placement.Cancelled || outcome == placement.Reset
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -107,6 +107,7 @@
 func (c *workerConn) finishOffer(offer *openOffer, outcome placement.Outcome, m *jsonlines.Message) {
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
 	c.removeOffer(offer)
+	c.link.pool.trace("worker ended offer", m.Tag, "worker", worker, "code", m.RC, "note", m.Opt("note"), "description", m.HasBlob)
 	if outcome == placement.Completed && m.HasBlob { // the task completed before its acceptance was sent: it is both
 		dispatcher.AttemptAccepted(now, worker, m.Tag, m.Blob)
 	}
--- a/placement/events.go
+++ b/placement/events.go
@@ -72,6 +72,9 @@
 	CauseDrained
 )
 
+// EndsTask reports whether only a task that its worker had accepted can end for the cause.
+func (c Cause) EndsTask() bool { return c == CauseEvicted || c == CausePreempted || c == CauseDrained }
+
 // ReportKind is what a [TaskReport] says of a running task.
 type ReportKind int
 
--- a/placement/health.go
+++ b/placement/health.go
@@ -125,14 +125,14 @@
 		worker.addSuspicion(h.now, timeoutSuspicion)
 	case event.Outcome == Failed:
 		h.recordError(task, attempt)
-	case event.Outcome == Reset && (!wasRunning || event.Cause == CauseUnknown):
+	case event.Outcome == Reset && (event.Cause == CauseUnknown || !wasRunning && !event.Cause.EndsTask()):
 		worker.addSuspicion(h.now, errorSuspicion)
 	case event.Outcome == Rejected && event.Cause == CauseQueue:
 		worker.attemptWindow = max(1, worker.attemptWindow/2)
 		// A jammed worker rejects at once: it would use up all attempts.
 		worker.addSuspicion(h.now, timeoutSuspicion)
 	case event.Outcome == Rejected && event.Cause == CauseWrongWorker && task.mayHaveRun == nil,
-		wasRunning && event.Cause == CauseDrained:
+		event.Cause == CauseDrained:
 		worker.drainingUntil = h.now + assumedDrain
 	}
 }
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -175,3 +175,16 @@
 		t.Errorf("suspicion %v after a stall of the scheduler, want none", suspicion)
 	}
 }
+
+// TestTaskSentAwayBlamesNobody has a worker send a task away whose acceptance was not read: it drains, which is no error.
+func TestTaskSentAwayBlamesNobody(t *testing.T) {
+	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 4))
+	f.wantPlaced(f.at(ms, f.request("1", "safe", 1, 2)), "a")
+	f.at(ms, AttemptEnded{RequestID: "1", Worker: "a", Outcome: Reset, Cause: CauseDrained, Final: true})
+	if suspicion := f.scheduler.fleet.workers["a"].suspicion(f.now, 0); suspicion != 0 {
+		t.Errorf("suspicion %v", suspicion)
+	}
+	f.wantPlaced(f.at(ms, f.request("2", "safe", 1, 2)), "b")
+	f.at(assumedDrain)
+	f.wantPlaced(f.at(ms, f.request("3", "safe", 1, 2)), "a")
+}
