Spend no attempts on workers that no connection reaches while another is reached

Cause: the worker pool knew that no connection reached a worker and reported only the opposite. Where all that fit are suspect, the fallback takes the least suspect with fewer than two unanswered attempts; once the reached worker had its two, the others went into the cut. Trace of a rejected request: its second attempt's connection carried nothing back, 'offer attempt=2' names the same worker 3 ms later, 'offer never sent' after 248 ms, the response 1.2 s before its deadline.

Mend: event WorkerUnreachable once a connection was refused, reset, not up in time or carried nothing back, and none is up; the fallback leaves such workers out while one is reached that may get the task, now or once it answered or ended others. It holds as the pool dials such a worker again by itself, and since a worker left out returns with a connection, with an acceptance, or once its suspicion is forgotten. Looked for elsewhere: full healthy workers beside an empty one that is cut off, a full window of attempts, a dial refused in its call, a connection reset a moment ago: the same fault, mended with it.

--- a/cmd/ravenhitch/failing_links_test.go
+++ b/cmd/ravenhitch/failing_links_test.go
@@ -170,6 +170,11 @@
 
 // A worker is cut off that holds no attempt, while all first attempts are silent at the other: the second ones
 // go into the cut, and the last ones must go where a worker is reached.
+//
+// Both workers are suspect then. The worker pool knew that no connection reached the one that is cut off, and reported
+// only the opposite; once the other one had its two attempts, the fallback of the search was left with that one. The trace
+// of each rejected request shows it: the connection carried nothing back and was closed, 'offer attempt=2' names the same
+// worker 3 ms later, and 'offer never sent' follows as the next connection is not established in time.
 func TestLastAttemptsIntoCut(t *testing.T) {
 	for range 30 { // servers; the placement draws, and of two draws one is as wanted
 		server := newWarmProxiedServer(t, settingsJSON, nil, "a", "b")
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -126,6 +126,12 @@
 	d.queueEvent(placement.WorkerReachable{Worker: worker})
 }
 
+// WorkerUnreachable takes it that no connection to a worker is up and that the last one failed.
+func (d *Dispatcher) WorkerUnreachable(now int64, worker string) {
+	d.now = now
+	d.queueEvent(placement.WorkerUnreachable{Worker: worker})
+}
+
 // WorkerDied takes a proof that the process of a worker has died: what ran there has ended, and
 // nobody will report it.
 func (d *Dispatcher) WorkerDied(now int64, worker string) {
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -31,6 +31,7 @@
 	changed     *sync.Cond // partitioned or healed, or closed
 	delay       time.Duration
 	partitioned bool
+	muted       bool // what the worker sends waits
 	closed      bool
 	returned    int                 // reads from the worker that were handed on so far
 	stranded    map[net.Conn]bool   // connections that carry nothing any more
@@ -66,7 +67,7 @@
 func (p *Proxy) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed, p.partitioned = true, false
+	p.closed, p.partitioned, p.muted = true, false, false
 	p.changed.Broadcast()
 	CloseQuietly(p.listener)
 	for _, conn := range p.connections {
@@ -85,6 +86,35 @@
 	}
 }
 
+// Mute lets what the worker sends wait until Unmute; what is sent to it arrives.
+func (p *Proxy) Mute() { p.setMuted(true) }
+
+// Unmute is described at Mute.
+func (p *Proxy) Unmute() { p.setMuted(false) }
+
+func (p *Proxy) setMuted(muted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted = muted
+	p.changed.Broadcast()
+}
+
+// RefuseConnections refuses new connections and resets the open ones.
+func (p *Proxy) RefuseConnections(t Host) {
+	Refuse(t, p.listener)
+	p.ResetConnections()
+}
+
+// ResetConnections resets the open connections, on both sides. New ones are as before.
+func (p *Proxy) ResetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.connections {
+		ResetConnection(conn)
+	}
+	p.connections = nil
+}
+
 // Delay sets how long messages to the worker are on their way.
 func (p *Proxy) Delay(d time.Duration) {
 	p.mu.Lock()
@@ -134,6 +164,14 @@
 	return !p.closed
 }
 
+func (p *Proxy) waitUnmuted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.muted {
+		p.changed.Wait()
+	}
+}
+
 // carries waits for the end of a partition; it reports whether a connection still carries
 // something.
 func (p *Proxy) carries(conn net.Conn) bool {
@@ -259,6 +297,7 @@
 	for {
 		buffer := make([]byte, proxyBuffer)
 		n, err := to.Read(buffer)
+		p.waitUnmuted()
 		if !p.carries(from) {
 			return
 		}
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -114,7 +114,7 @@
 func (c *workerConn) close(reason error) {
 	unreachable := isUnreachable(reason)
 	if unreachable {
-		c.link.unreachable = true
+		c.link.setUnreachable()
 	}
 	if len(c.openOffers) > 0 || c.cancels.pending() || unreachable {
 		c.conn.Abort()
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"golang.org/x/sys/unix"
 
@@ -83,6 +84,7 @@
 	if err != nil {
 		l.pool.log.Warn("worker dial failed", "worker", l.workerID, "err", err)
 		if errors.Is(err, unix.ECONNREFUSED) {
+			l.setUnreachable()
 			l.connRefused()
 		}
 		l.scheduleRedial()
@@ -151,7 +153,9 @@
 
 // connClosed takes the end of a connection that this side did not close, and that was taken off the link.
 func (l *link) connClosed(err error) {
-	l.unreachable = l.unreachable || !errors.Is(err, eventloop.ErrEOF)
+	if !errors.Is(err, eventloop.ErrEOF) {
+		l.setUnreachable()
+	}
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		l.connRefused()
@@ -169,6 +173,17 @@
 	}
 }
 
+// setUnreachable notes that a connection did not come up, broke or carried nothing back. The scheduler is notified in
+// the next turn unless a connection is up then: it would spend attempts on a worker that this pool knows not to reach.
+func (l *link) setUnreachable() {
+	l.unreachable = true
+	l.pool.reportLater(func() {
+		if l.unreachable && !slices.ContainsFunc(l.conns, func(c *workerConn) bool { return c.conn.IsUp() }) {
+			l.pool.dispatcher.WorkerUnreachable(l.pool.loop.Now(), l.workerID)
+		}
+	})
+}
+
 // pruneConns closes the older connections with no open offer, once the newest is up.
 func (l *link) pruneConns() {
 	for i := 0; i < len(l.conns)-1; {
--- a/placement/events.go
+++ b/placement/events.go
@@ -160,6 +160,10 @@
 	// WorkerReachable says that a worker took a connection after one to it had failed or got no
 	// answer.
 	WorkerReachable struct{ Worker string }
+	// WorkerUnreachable says that no connection to a worker is up and that the last one failed: it was
+	// refused or reset, did not come up in time, or carried nothing back. WorkerReachable follows once
+	// one is up.
+	WorkerUnreachable struct{ Worker string }
 	// Backpressure says at what rate capacity becomes free while tasks wait for it, in units a
 	// second (see Settings.Units), 0 where that is not known or nothing waits; and how many units
 	// each class is to leave to those of more weight that are on their way.
@@ -173,14 +177,15 @@
 	ClientCancelled struct{ RequestID string }
 )
 
-func (WorkerList) event()      {}
-func (Request) event()         {}
-func (Adopted) event()         {}
-func (Accepted) event()        {}
-func (AttemptEnded) event()    {}
-func (TaskReport) event()      {}
-func (ProbeResult) event()     {}
-func (WorkerReachable) event() {}
-func (Backpressure) event()    {}
-func (TimerFired) event()      {}
-func (ClientCancelled) event() {}
+func (WorkerList) event()        {}
+func (Request) event()           {}
+func (Adopted) event()           {}
+func (Accepted) event()          {}
+func (AttemptEnded) event()      {}
+func (TaskReport) event()        {}
+func (ProbeResult) event()       {}
+func (WorkerReachable) event()   {}
+func (WorkerUnreachable) event() {}
+func (Backpressure) event()      {}
+func (TimerFired) event()        {}
+func (ClientCancelled) event()   {}
--- a/placement/filter.go
+++ b/placement/filter.go
@@ -29,9 +29,13 @@
 
 // permits reports whether all rules but reservations let a worker get a task.
 func (f *filter) permits(worker *workerInfo, class *Class, task *taskInfo) bool {
+	return float64(len(worker.unanswered)) < worker.attemptWindow && f.permitsOnceAnswered(worker, class, task)
+}
+
+// permitsOnceAnswered reports the same where the worker had answered its attempts.
+func (f *filter) permitsOnceAnswered(worker *workerInfo, class *Class, task *taskInfo) bool {
 	return worker.listed && worker.State == Ready && f.now >= worker.drainingUntil &&
 		worker.kindIndex >= 0 && (class.Kind < 0 || class.Kind == worker.kindIndex) &&
-		float64(len(worker.unanswered)) < worker.attemptWindow &&
 		permitsRepeat(f.now, worker, class, task) && f.spread.permits(worker, class, task) &&
 		f.slowStart.permits(worker)
 }
--- a/placement/health.go
+++ b/placement/health.go
@@ -104,6 +104,7 @@
 
 // recordAccepted takes an accepted attempt of a class.
 func (h *health) recordAccepted(worker *workerInfo, classIndex int) {
+	worker.unreachable = false
 	worker.recordSuccess(h.now, classIndex)
 	worker.attemptWindow = min(maxAttemptWindow, worker.attemptWindow+1/worker.attemptWindow)
 }
@@ -180,7 +181,13 @@
 // a worker takes connections and answers nothing: so it has to accept something before that
 // counts again.
 func (h *health) recordReachable(worker *workerInfo) {
-	if worker == nil || worker.reachableAt > 0 && slices.Max(worker.lastAcceptedAt) <= worker.reachableAt {
+	if worker == nil {
+		return
+	}
+	if worker.unreachable {
+		worker.unreachable, h.needsPass = false, true
+	}
+	if worker.reachableAt > 0 && slices.Max(worker.lastAcceptedAt) <= worker.reachableAt {
 		return
 	}
 	worker.reachableAt, h.needsPass = h.now, true
@@ -189,3 +196,10 @@
 		worker.suspicions[classIndex] = suspicionScore{score, h.now}
 	}
 }
+
+// recordUnreachable takes it that no connection to a worker is up and that the last one failed.
+func (h *health) recordUnreachable(worker *workerInfo) {
+	if worker != nil {
+		worker.unreachable = true
+	}
+}
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -67,6 +67,95 @@
 	}
 }
 
+// TestUnreachableWorkerIsLeftOut has all workers suspect and one of them unreachable: attempts go to the one that is
+// reached, and those beyond its bound wait for it, until the other one is reached again.
+func TestUnreachableWorkerIsLeftOut(t *testing.T) {
+	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 30))
+	for _, worker := range f.scheduler.fleet.sorted {
+		worker.addSuspicion(f.now, maxSuspicion)
+	}
+	f.at(0, WorkerUnreachable{Worker: "b"}, WorkerUnreachable{Worker: "unknown"})
+	var requests []Event
+	for i := range maxSuspectAttempts + 2 {
+		requests = append(requests, f.request(fmt.Sprint(i), "safe", 1, 2))
+	}
+	expectPlaces(t, f.at(ms, requests...), "a", maxSuspectAttempts)
+	expectPlaces(t, f.at(ms, WorkerReachable{Worker: "b"}), "b", 2)
+	f.at(ms, Accepted{RequestID: "2", Worker: "b", RTTUs: ms})
+	if f.scheduler.fleet.workers["b"].unreachable {
+		t.Error("it is unreachable after it accepted an attempt")
+	}
+}
+
+// TestUnreachableWorkersAreTriedWhereNoneIsReached has all workers suspect and unreachable: each is tried, as what is
+// known of connections may be out of date. So is the only worker of a kind.
+func TestUnreachableWorkersAreTriedWhereNoneIsReached(t *testing.T) {
+	large := Entry{Worker: "c", Kind: "large", FreeCores: 60, FreeMemory: 120}
+	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 30), large)
+	for _, worker := range f.scheduler.fleet.sorted {
+		worker.addSuspicion(f.now, maxSuspicion)
+	}
+	f.at(0, WorkerUnreachable{Worker: "c"})
+	expectPlaces(t, f.at(ms, f.request("1", "large", 1, 2)), "c", 1)
+	f.at(0, WorkerUnreachable{Worker: "a"}, WorkerUnreachable{Worker: "b"})
+	var requests []Event
+	for i := range 2 * maxSuspectAttempts {
+		requests = append(requests, f.request(fmt.Sprint("2", i), "safe", 1, 2))
+	}
+	places := f.at(ms, requests...)
+	expectPlaces(t, places, "a", maxSuspectAttempts)
+	expectPlaces(t, places, "b", maxSuspectAttempts)
+}
+
+// TestUnreachableWorkerReturnsByItself has a worker stay unreachable: once its suspicion is forgotten it is tried as any
+// other, since no connection may have been tried meanwhile.
+func TestUnreachableWorkerReturnsByItself(t *testing.T) {
+	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 4))
+	f.scheduler.fleet.workers["a"].addSuspicion(f.now, maxSuspicion)
+	f.at(0, WorkerUnreachable{Worker: "a"})
+	f.at(10 * suspicionHalflife)
+	f.wantPlaced(f.at(ms, f.request("1", "safe", 1, 2)), "a")
+}
+
+// TestTaskWaitsForFullWorkerThatIsReached has a worker that looks empty as nothing reaches it, beside one that is full or
+// has to answer: tasks wait for that one.
+func TestTaskWaitsForFullWorkerThatIsReached(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		freeCores float64 // of the worker that is reached
+		prepare   func(reached *workerInfo)
+	}{
+		{"full", -16, func(*workerInfo) {}},
+		{"suspect, with one attempt in its window", 30, func(reached *workerInfo) {
+			reached.addSuspicion(1_000_000_000, maxSuspicion)
+			reached.attemptWindow = 1
+			reached.unanswered = []*attemptInfo{{worker: reached, sentAt: 1_000_000_000}}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, testSettings(), 1, smallWorker("a", 0, test.freeCores), smallWorker("b", 0, 30))
+			f.scheduler.fleet.workers["b"].addSuspicion(f.now, maxSuspicion)
+			test.prepare(f.scheduler.fleet.workers["a"])
+			f.at(0, WorkerUnreachable{Worker: "b"})
+			expectPlaces(t, f.at(ms, f.request("1", "safe", 1, 2)), "b", 0)
+		})
+	}
+}
+
+// expectPlaces fails where not just so many attempts go to a worker.
+func expectPlaces(t *testing.T, actions []Action, worker string, want int) {
+	t.Helper()
+	got := 0
+	for _, place := range ofType[Place](actions) {
+		if place.Worker == worker {
+			got++
+		}
+	}
+	if got != want {
+		t.Errorf("%d attempts at %s, want %d; actions %v", got, worker, want, actions)
+	}
+}
+
 func TestSuspicionAloneNeverEjectsFleet(t *testing.T) {
 	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 30))
 	for _, name := range []string{"a", "b"} {
--- a/placement/history_test.go
+++ b/placement/history_test.go
@@ -223,6 +223,9 @@
 	case 6:
 		return []Event{h.drawBackpressure()}
 	case 7:
+		if h.chance(0.5) {
+			return []Event{WorkerUnreachable{h.anyWorker()}}
+		}
 		return []Event{WorkerReachable{h.anyWorker()}}
 	case 8:
 		return []Event{ClientCancelled{h.anyRequestID()}}
--- a/placement/reference_selection_test.go
+++ b/placement/reference_selection_test.go
@@ -70,6 +70,13 @@
 		if healthyCount > suspectCount && effect != Safe {
 			return selection{path: pathWaits}
 		}
+		class := &r.scheduler.settings.Classes[task.classIndex]
+		isReached := func(worker *workerInfo) bool {
+			return !worker.unreachable && r.permitsOnceAnswered(worker, class, task)
+		}
+		if slices.ContainsFunc(r.workers, isReached) {
+			fit = slices.DeleteFunc(fit, func(worker *workerInfo) bool { return worker.unreachable })
+		}
 		leastSuspect := r.lowestSuspicion(fit, task.classIndex)
 		if leastSuspect == nil {
 			return selection{path: pathWaits}
--- a/placement/reference_test.go
+++ b/placement/reference_test.go
@@ -180,11 +180,17 @@
 // permits is the rules, the kind and the window.
 func (r *reference) permits(worker *workerInfo, task *taskInfo) bool {
 	class := &r.scheduler.settings.Classes[task.classIndex]
+	if float64(len(worker.unanswered)) >= worker.attemptWindow {
+		return false
+	}
+	return r.permitsOnceAnswered(worker, class, task)
+}
+
+// permitsOnceAnswered is the rules and the kind.
+func (r *reference) permitsOnceAnswered(worker *workerInfo, class *Class, task *taskInfo) bool {
 	switch {
 	case !worker.listed || worker.State != Ready || worker.kindIndex < 0 || r.scheduler.now < worker.drainingUntil:
 		return false
-	case float64(len(worker.unanswered)) >= worker.attemptWindow:
-		return false
 	case class.Kind >= 0 && class.Kind != worker.kindIndex:
 		return false
 	}
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -205,6 +205,8 @@
 		s.probes.ended(event)
 	case WorkerReachable:
 		s.health.recordReachable(s.fleet.workers[event.Worker])
+	case WorkerUnreachable:
+		s.health.recordUnreachable(s.fleet.workers[event.Worker])
 	case Backpressure:
 		s.overload.apply(event)
 	case TimerFired:
--- a/placement/search.go
+++ b/placement/search.go
@@ -178,6 +178,11 @@
 		// for them, unless trying again is safe.
 		return nil
 	}
+	// An attempt at a worker that no connection reaches is spent for nothing, and may be the last one of
+	// its task: the task waits for a worker that is reached, even if that has to answer or to end others.
+	if slices.ContainsFunc(suspects, isUnreachable) && s.anyReachable(task) {
+		suspects = slices.DeleteFunc(suspects, isUnreachable)
+	}
 	// Most look bad: suspect the network or the load, not them, and go on with the least
 	// suspect, few attempts at a time each: what gets no answer uses up attempts that tasks
 	// need later.
@@ -194,6 +199,17 @@
 	return suspects[:1]
 }
 
+func isUnreachable(worker *workerInfo) bool { return worker.unreachable }
+
+// anyReachable reports whether a worker is reached that may get a task, now or once it has answered or
+// ended others.
+func (s *search) anyReachable(task *taskInfo) bool {
+	class := s.classOf(task)
+	return slices.ContainsFunc(s.fleet.sorted, func(worker *workerInfo) bool {
+		return !worker.unreachable && s.filter.permitsOnceAnswered(worker, class, task)
+	})
+}
+
 // majorityHealthy reports whether more of the feasible workers are healthy than not.
 func (s *search) majorityHealthy(task *taskInfo) bool {
 	class := s.classOf(task)
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -69,6 +69,7 @@
 	uncordonedIdle bool // it was uncordoned and got no offer since
 	requestedStale bool // requestedCores and requestedMemory are not as of now
 	reportsFree    bool // the last report has the free capacity
+	unreachable    bool // no connection to it is up, and the last one failed
 	lagDependent   bool // it is in loadTracker.lagDependent
 	inCalibrated   bool // it is in calibration.workers
 
