Take the end of a task whose attempt was lost or cancelled by any connection

Callers saw: a task was over at its worker, and the request was answered when its time was up, or with the start of a second run.

Cause: a running task belongs to no connection, and its worker reports the end on any. Where the connection had ended before the STARTED was read, the request was pending, and finishTask took such an end only for a running task or one that is not known. Trace: 'connection lost with offer open', the end at the worker 300 ms later and no line of it, 'offer attempt=1' elsewhere 380 ms after that.

Mend: AbandonedTaskEnded fails the request at once where the end says that the task ran, comes from the worker of the last attempt, and nothing was offered since (pending, or the cancel unconfirmed). It holds as only an attempt of that request at that worker can have ended so; what was offered elsewhere goes on.

--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -157,3 +157,63 @@
 		}
 	}
 }
+
+// An end that says that the task ran, of an attempt that was given up before, ends the request while nothing was offered
+// since, and only then.
+func TestAbandonedTaskEnded(t *testing.T) {
+	const ran, drained = placement.Reset, placement.CauseDrained
+	setUp := func(t *testing.T, withholdConfirm bool) (h *harness, worker string) {
+		h = newHarness(t)
+		h.updateWorkers(placement.ListFull, placement.Ready, "a")
+		h.mustStart("t0", 5000) // a quick answer, so that later attempts are abandoned early
+		h.withholdConfirm = withholdConfirm
+		h.mustSubmit("t1", "web", "k1", 2000)
+		h.advance(10 * millisecond)
+		return h, h.offered["t1"]
+	}
+	failed := func(h *harness) bool { return h.finalResponses["t1"] == Failed && !h.Contains("t1") }
+	t.Run("cancel not confirmed", func(t *testing.T) {
+		h, worker := setUp(t, true)
+		h.advance(500 * millisecond)
+		if h.unconfirmed["t1"] == "" {
+			t.Fatalf("offers %v", h.offers)
+		}
+		h.AbandonedTaskEnded(h.now, worker, "t1", placement.Rejected, 0) // a duplicate
+		h.AbandonedTaskEnded(h.now, "b", "t1", ran, drained)             // a foreign one
+		if h.OpenCount() != 1 {
+			t.Fatal("the request is over")
+		}
+		h.AbandonedTaskEnded(h.now, worker, "t1", ran, drained)
+		if !failed(h) {
+			t.Errorf("responses %v", h.received)
+		}
+	})
+	t.Run("pending", func(t *testing.T) {
+		h, worker := setUp(t, false)
+		h.updateWorkers(placement.ListDelta, placement.Draining, "a")
+		h.endAttempt("t1", placement.Reset)
+		h.advance(10 * millisecond)
+		h.AbandonedTaskEnded(h.now, worker, "t1", placement.Reset, 0) // does not say that the task ran
+		if h.OpenCount() != 1 || len(h.offers) != 2 {
+			t.Fatalf("offers %v, responses %v", h.offers, h.received)
+		}
+		h.AbandonedTaskEnded(h.now, worker, "t1", placement.Completed, 0)
+		h.advance(10 * millisecond)
+		if !failed(h) {
+			t.Errorf("responses %v", h.received)
+		}
+	})
+	t.Run("offered since", func(t *testing.T) {
+		h, worker := setUp(t, false)
+		h.updateWorkers(placement.ListDelta, placement.Ready, "b")
+		h.endAttempt("t1", placement.Reset)
+		h.advance(10 * millisecond)
+		if h.offered["t1"] != "b" {
+			t.Fatalf("offers %v", h.offers)
+		}
+		h.AbandonedTaskEnded(h.now, worker, "t1", ran, drained)
+		if h.offered["t1"] == "" || h.OpenCount() != 1 {
+			t.Errorf("offers %v, responses %v", h.offers, h.received)
+		}
+	})
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -84,6 +84,25 @@
 	}
 }
 
+// AbandonedTaskEnded takes the end of a task whose attempt was given up here without its worker's word, as it was cancelled
+// or lost with its connection. Where nothing was offered since, the request is over: another attempt would begin the
+// task anew.
+func (d *Dispatcher) AbandonedTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
+	d.now = now
+	r := d.requests[requestID]
+	if r == nil || r.worker != worker || !r.mayHaveRun || !hasRun(outcome, cause) {
+		return
+	}
+	switch r.state {
+	case stateCancelling:
+		d.unacceptedTaskEnded(r, cause)
+	case statePending:
+		d.log.Info("task ended before its acceptance", "request_id", r.RequestID, "worker", r.worker)
+		d.queueEvent(placement.ClientCancelled{RequestID: r.RequestID})
+		d.fail(r)
+	}
+}
+
 // hasRun reports whether the end of an attempt says that its task ran, though its acceptance was not read: the task ended
 // as it should, or for a cause for which only an accepted task ends.
 func hasRun(outcome placement.Outcome, cause placement.Cause) bool {
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -116,8 +116,8 @@
 }
 
 // finishTask takes the end of a request that has no open offer on this connection: it is the completion of a running
-// task, or a duplicate or foreign answer, which must end no attempt. That it was rejected or never sent is no
-// completion of a running task: it is a duplicate of the answer to an earlier attempt.
+// task, of one whose attempt was given up here, or a duplicate or foreign answer, which must end no attempt. That it was
+// rejected or never sent is no completion of a running task: it is a duplicate of the answer to an earlier attempt.
 func (c *workerConn) finishTask(outcome placement.Outcome, m *jsonlines.Message) {
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
 	cause := causesByNote[m.Opt("note")]
@@ -125,7 +125,9 @@
 	switch {
 	case mayHaveRun && (dispatcher.IsRunning(m.Tag) || dispatcher.IsTerminating(m.Tag)):
 		dispatcher.TaskEnded(now, worker, m.Tag, outcome, cause)
-	case !dispatcher.Contains(m.Tag):
+	case dispatcher.Contains(m.Tag):
+		dispatcher.AbandonedTaskEnded(now, worker, m.Tag, outcome, cause)
+	default:
 		dispatcher.UnknownTaskEnded(now, worker, m.Tag, outcome, cause)
 	}
 }
