Soak drains in which workers keep their tasks, so that late offers show

Cause: the judge of offers to draining workers could hardly fail: each worker that drained sent tasks away at once, and the scheduler takes a worker that does so for draining whatever the list says.

Change: half of the drains leave the tasks running, as some deployments do.

--- a/test/soak/life_test.go
+++ b/test/soak/life_test.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	disturbed []interval
 	drainedAt time.Time // when the list said so, the zero time for never
+	sendsAway bool      // it has been sending its tasks away since
 	hung      bool
 }
 
@@ -78,6 +79,12 @@
 	return w.drainedAt
 }
 
+func (w *worker) isSendingAway() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sendsAway
+}
+
 func (w *worker) isHung() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -177,7 +184,7 @@
 	if l.attempts.LastWorker(requestID) == w.Name { // else it is a copy that its process has given up
 		l.ledger.endedAtWorker(requestID, w)
 	}
-	if !w.drained().IsZero() || l.ledger.isHeld(requestID) {
+	if w.isSendingAway() || l.ledger.isHeld(requestID) {
 		w.SendAway(requestID)
 		return
 	}
@@ -213,8 +220,8 @@
 	switch f.kind {
 	case faultDiscoveryCut, faultDiscoveryDelay, faultDiscoveryMove:
 		l.disturbDiscovery(p, f)
-	case faultDrain:
-		p.drain(w)
+	case faultDrain, faultDrainSlowly:
+		p.drain(w, f.kind == faultDrain)
 	case faultHang:
 		w.disturb()
 		w.mu.Lock()
@@ -260,20 +267,20 @@
 // settleTime is for how long after a fault its effects may be seen: a connection is dialled again after 2 s at most.
 const settleTime = 2500 * time.Millisecond
 
-// drain lets a worker drain: first the list says so, then it sends its tasks away one by one, as endTasks does.
-func (p *process) drain(w *worker) {
+// drain lets a worker drain: first the list says so, then it may send its tasks away one by one.
+func (p *process) drain(w *worker, sendsAway bool) {
 	l := p.life
 	w.mu.Lock()
 	isFirst := w.drainedAt.IsZero()
 	if isFirst {
-		w.drainedAt = time.Now()
+		w.drainedAt, w.sendsAway = time.Now(), sendsAway
 	}
 	w.mu.Unlock()
 	if !isFirst {
 		return
 	}
 	p.list(w.ListEntry("draining"))
-	for l.sleep(endInterval) {
+	for sendsAway && l.sleep(endInterval) {
 		running := l.attempts.Running(w.Name)
 		if len(running) == 0 || w.isHung() {
 			continue
--- a/test/soak/plan_test.go
+++ b/test/soak/plan_test.go
@@ -34,10 +34,11 @@
 	faultDelay          faultKind = "delay"
 	faultMute           faultKind = "mute" // what is sent to the worker arrives, and nothing comes back
 	faultReset          faultKind = "reset"
-	faultRestart        faultKind = "restart" // at the same address
-	faultDrain          faultKind = "drain"   // and it sends its tasks away one by one
-	faultHang           faultKind = "hang"    // to the end
-	faultClose          faultKind = "close"   // of all connections
+	faultRestart        faultKind = "restart"      // at the same address
+	faultDrain          faultKind = "drain"        // and it sends its tasks away one by one
+	faultDrainSlowly    faultKind = "drain-slowly" // and its tasks go on
+	faultHang           faultKind = "hang"         // to the end
+	faultClose          faultKind = "close"        // of all connections
 	faultDiscoveryCut   faultKind = "discovery-cut"
 	faultDiscoveryDelay faultKind = "discovery-delay"
 	faultDiscoveryMove  faultKind = "discovery-move" // to another address, with SIGHUP
@@ -45,7 +46,7 @@
 
 var (
 	pathFaults      = []faultKind{faultCut, faultDelay, faultMute, faultReset}
-	workerFaults    = []faultKind{faultRestart, faultDrain, faultHang, faultClose}
+	workerFaults    = []faultKind{faultRestart, faultDrain, faultDrainSlowly, faultHang, faultClose}
 	discoveryFaults = []faultKind{faultDiscoveryCut, faultDiscoveryDelay, faultDiscoveryMove}
 )
 
