Notify no handler of the end of a connection that never began

Callers saw nothing yet: by reading, each connection of a peer that epoll rejects lowered the count of pending inbound connections below zero, and raised their limit by one for good.

Cause: addAccepted called Closed on a handler that had no Opened; the peers' handler counts in Opened and gives back in Closed.

Mend: such a connection ends unseen, for every handler of accepted connections; the rule stands at eventloop.Handler. Dialled connections are reported as before.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -8,8 +8,8 @@
 )
 
 // Handler takes the events of one connection. Data returns how many of the bytes gathered so far it has used; the rest
-// comes again with what follows, and an error ends the connection. Closed is called once for every connection, also for
-// one that never opened, unless its user closed or aborted it.
+// comes again with what follows, and an error ends the connection. Closed is called once for every connection that opened
+// or was dialled, unless its user closed or aborted it.
 type Handler interface {
 	Opened(c *Conn)
 	Data(c *Conn, b []byte) (used int, err error)
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// addAccepted opens a connection that was accepted.
+// addAccepted opens a connection that was accepted. One that cannot be watched ends unseen: its handler was never
+// notified of its begin, and would give back what it never took.
 func (l *Loop) addAccepted(fd int, listener *listener) {
 	setSocketOptions(fd)
 	c := &Conn{
@@ -144,8 +145,6 @@
 	}
 	if err := l.addDescriptor(fd, c.interest); err != nil {
 		closeFD(fd)
-		c.closed = true
-		c.handler.Closed(c, err)
 		return
 	}
 	l.conns[fd] = c
