Close no idle connection for a client that does not exist

Callers saw: at the connection limit each client that came cost two or more idle ones their connections, and one that used its connection at that moment had to send again.

Cause: before each accept, also the one that finds that nobody waits, the loop asked the front whether another client may connect, and at the limit the front closes an idle connection in that call. The listener of admin calls did the same.

Mend: eventloop.Admission tells whether there is capacity, and makes some in a call of its own, which the loop makes only where poll says that a connection waits. It holds for every listener. With it, found by reading: a listener without capacity counted as having connections in the system's queue, so that a shutdown at the limit lasted to its timeout.

--- a/cmd/ravenhitch/connection_limit_test.go
+++ b/cmd/ravenhitch/connection_limit_test.go
@@ -184,3 +184,15 @@
 		})
 	}
 }
+
+// At the limit one idle connection is closed for a client that comes, and none for nobody: a client that uses its
+// connection then would find it closed.
+func TestNoEvictionForNobody(t *testing.T) {
+	server := newSmallServer(t, "a")
+	for range maxClients {
+		pingServer(t, server.connect(t))
+	}
+	server.waitIdle(t)
+	pingServer(t, server.connect(t))
+	server.waitConnections(t, maxClients)
+}
--- a/internal/admin/listener.go
+++ b/internal/admin/listener.go
@@ -45,16 +45,18 @@
 // the socket when it ends.
 func (l *Listener) Listen(addr string) (string, error) {
 	accept := func() eventloop.Handler { return &connection{listener: l} }
-	return l.loop.Listen(addr, l.ensureCapacity, accept)
+	return l.loop.Listen(addr, admission{l}, accept)
 }
 
-// ensureCapacity reports whether another connection can be accepted, and closes an idle one for
-// it if need be.
-func (l *Listener) ensureCapacity() bool {
-	if len(l.open) < maxConnections {
-		return true
-	}
-	for _, c := range l.open {
+// admission admits connections to a listener.
+type admission struct{ listener *Listener }
+
+// HasCapacity implements eventloop.Admission.
+func (a admission) HasCapacity() bool { return len(a.listener.open) < maxConnections }
+
+// MakeCapacity implements eventloop.Admission: it closes the oldest connection without a call.
+func (a admission) MakeCapacity() bool {
+	for _, c := range a.listener.open {
 		if !c.called {
 			c.close()
 			return true
--- a/internal/clientfront/admission.go
+++ b/internal/clientfront/admission.go
@@ -28,14 +28,20 @@
 	return minIdleWithoutTask
 }
 
-// admit reports whether another client may connect. The event loop calls it before each accept, also where no
-// client waits. Where the limit is reached, or no descriptor is left for clients, it closes an idle
-// connection. Clients that are not admitted wait in the system's queue, where no response reaches them.
-// Connections without a task may come by the hundred, so they are evicted first.
-func (f *Front) admit() bool {
-	if len(f.clients) < f.maxConns && f.budget.AdmitsClient() {
-		return true
-	}
+// admission admits clients to a front. Those that are not admitted wait in the system's queue, where no response reaches
+// them.
+type admission struct{ front *Front }
+
+// HasCapacity implements eventloop.Admission.
+func (a admission) HasCapacity() bool {
+	f := a.front
+	return len(f.clients) < f.maxConns && f.budget.AdmitsClient()
+}
+
+// MakeCapacity implements eventloop.Admission: it closes an idle connection. Connections without a task may come by the
+// hundred, so they are evicted first.
+func (a admission) MakeCapacity() bool {
+	f := a.front
 	found := f.findEvictable()
 	evicted := found.client
 	if evicted != nil && evicted.hasTask && found.anotherSoon && found.withTask <= protectedWithTask {
--- a/internal/clientfront/front.go
+++ b/internal/clientfront/front.go
@@ -79,9 +79,9 @@
 	f.loop.After(sweepInterval, f.sweep)
 	accept := func() eventloop.Handler { return &clientConn{front: f, openRequests: map[string]bool{}} }
 	if fd > 0 {
-		return f.loop.ListenInherited(fd, f.admit, accept)
+		return f.loop.ListenInherited(fd, admission{f}, accept)
 	}
-	return f.loop.Listen(addr, f.admit, accept)
+	return f.loop.Listen(addr, admission{f}, accept)
 }
 
 // sweep closes the connections that timed out, and reports completions that have waited long enough. It
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -19,26 +19,44 @@
 	acceptPause = 20 * millisecond
 )
 
+// Admission decides whether another connection is accepted. While it is not, connections wait in the system's queue.
+type Admission interface {
+	// HasCapacity reports whether one may be accepted as things are. It changes nothing, as it is also called
+	// where no connection waits.
+	HasCapacity() bool
+	// MakeCapacity is called for a connection that waits where there is no capacity, and reports whether there
+	// is now. It may close another connection.
+	MakeCapacity() bool
+}
+
+// AdmissionFunc is an Admission that reports whether there is capacity, and cannot make any.
+type AdmissionFunc func() bool
+
+// HasCapacity implements Admission.
+func (f AdmissionFunc) HasCapacity() bool { return f() }
+
+// MakeCapacity implements Admission.
+func (AdmissionFunc) MakeCapacity() bool { return false }
+
 // listener is a listening socket.
 type listener struct {
-	fd      int
-	admit   func() bool
-	accept  func() Handler
-	paused  bool
-	queued  bool  // connections may wait in the system's queue; false once none was found
-	emptyAt int64 // when none was found
+	fd        int
+	admission Admission
+	accept    func() Handler
+	paused    bool
+	queued    bool  // connections may wait in the system's queue; false once none was found
+	emptyAt   int64 // when none was found
 }
 
-// Listen accepts connections at addr, each with a Handler of its own from accept, and returns the address that it
-// listens on. admit reports whether another one may be accepted; while it does not, connections wait in the
-// system's queue.
-func (l *Loop) Listen(addr string, admit func() bool, accept func() Handler) (string, error) {
+// Listen accepts connections at addr while admission allows it, each with a Handler of its own from accept, and returns
+// the address that it listens on.
+func (l *Loop) Listen(addr string, admission Admission, accept func() Handler) (string, error) {
 	fd, sa, err := openSocket("listen", unix.SOCK_STREAM, addr)
 	if err != nil {
 		return "", err
 	}
 	if err = bindAndListen(fd, sa); err == nil {
-		err = l.addListener(fd, admit, accept)
+		err = l.addListener(fd, admission, accept)
 	}
 	if err != nil {
 		closeFD(fd)
@@ -59,7 +77,7 @@
 }
 
 // ListenInherited accepts connections, as Listen does, on a listening socket that this process was started with.
-func (l *Loop) ListenInherited(fd int, admit func() bool, accept func() Handler) (string, error) {
+func (l *Loop) ListenInherited(fd int, admission Admission, accept func() Handler) (string, error) {
 	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on == 0 {
 		//nolint:errorlint // err may be nil, which %w does not print
 		notListening := fmt.Errorf("%w (%v)", ErrNotListening, err)
@@ -69,17 +87,17 @@
 	if err := unix.SetNonblock(fd, true); err != nil {
 		return "", &OpError{Op: "descriptor", Target: strconv.Itoa(fd), Err: err}
 	}
-	if err := l.addListener(fd, admit, accept); err != nil {
+	if err := l.addListener(fd, admission, accept); err != nil {
 		return "", err
 	}
 	return localAddr(fd, ""), nil
 }
 
-func (l *Loop) addListener(fd int, admit func() bool, accept func() Handler) error {
+func (l *Loop) addListener(fd int, admission Admission, accept func() Handler) error {
 	if err := l.addDescriptor(fd, unix.EPOLLIN); err != nil {
 		return err
 	}
-	l.listeners[fd] = &listener{fd: fd, admit: admit, accept: accept}
+	l.listeners[fd] = &listener{fd: fd, admission: admission, accept: accept}
 	return nil
 }
 
@@ -104,11 +122,18 @@
 	return false
 }
 
-// acceptAll accepts the connections that are queued on a listener while there are descriptors and admit allows it.
+// acceptAll accepts the connections that are queued on a listener while there are descriptors and its admission allows
+// it.
 func (l *Loop) acceptAll(listener *listener) {
 	listener.queued = true
 	for range maxAcceptsPerTurn {
-		if l.FreeDescriptors() <= 0 || !listener.admit() {
+		hasCapacity := l.FreeDescriptors() > 0 && listener.admission.HasCapacity()
+		if !hasCapacity && !isQueued(listener.fd) {
+			l.noneQueued(listener)
+			return
+		}
+		// An admission may close a connection of another client: that must not happen where nobody waits.
+		if !hasCapacity && (!listener.admission.MakeCapacity() || l.FreeDescriptors() <= 0) {
 			l.pause(listener)
 			return
 		}
@@ -121,8 +146,7 @@
 			l.pause(listener)
 			return
 		case unix.EAGAIN:
-			listener.queued = false
-			listener.emptyAt = l.Clock()
+			l.noneQueued(listener)
 			return
 		default:
 			return
@@ -130,6 +154,19 @@
 	}
 }
 
+// noneQueued notes that no connection waits at a listener.
+func (l *Loop) noneQueued(listener *listener) {
+	listener.queued = false
+	listener.emptyAt = l.Clock()
+}
+
+// isQueued reports whether a connection waits at a listening socket, or may.
+func isQueued(fd int) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	ready, err := unix.Poll(poll, 0)
+	return err != nil || ready > 0
+}
+
 // addAccepted opens a connection that was accepted. One that cannot be watched ends unseen: its handler was never
 // notified of its begin, and would give back what it never took.
 func (l *Loop) addAccepted(fd int, listener *listener) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -100,10 +100,10 @@
 // connections may be in use for datagrams: then another is asked for.
 func (p *Peers) listen() (address string, err error) {
 	anyPort := strings.HasSuffix(p.settings.Listen, ":0")
-	accept := func() bool { return p.pendingInbound < maxPendingInbound }
+	admission := eventloop.AdmissionFunc(func() bool { return p.pendingInbound < maxPendingInbound })
 	handler := func() eventloop.Handler { return &inboundConn{peers: p} }
 	for range maxPorts {
-		address, err = p.loop.Listen(p.settings.Listen, accept, handler)
+		address, err = p.loop.Listen(p.settings.Listen, admission, handler)
 		if err != nil {
 			return "", err
 		}
