Let offers that wait for one connection leave in the order they were made

Cause: offers were sorted by age once their connection was up; those of one turn have the same age, and came from a map.

Mend: offers are numbered as the dispatcher makes them, and leave by number, also when they are put on another connection. The same elsewhere: clients' connections that time out, are evicted, or report a completion had ties decided by a map, now by the connection's number.

--- a/internal/clientfront/admission.go
+++ b/internal/clientfront/admission.go
@@ -89,5 +89,5 @@
 	if usage, otherUsage := c.usage(), other.usage(); usage != otherUsage {
 		return usage < otherUsage
 	}
-	return c.lastActiveAt < other.lastActiveAt
+	return c.lastActiveAt < other.lastActiveAt || c.lastActiveAt == other.lastActiveAt && c.number < other.number
 }
--- a/internal/clientfront/timeouts.go
+++ b/internal/clientfront/timeouts.go
@@ -1,21 +1,30 @@
 package clientfront
 
+import (
+	"cmp"
+	"slices"
+)
+
 // This file owns which connections have timed out. A connection with an open request must never count as idle.
 
 // messageTimeout is how long a connection may take for its first message, and for the rest of a message that has
 // begun: a client may take 2 s to write one, and a connection that sends none is to be closed within 3 s.
 const messageTimeout = 2_400 * millisecond
 
-// closeTimedOut closes the connections that are stalled or were idle for too long.
+// closeTimedOut closes the connections that are stalled or were idle for too long, in the order in which they came.
 func (f *Front) closeTimedOut(now int64) {
+	var timedOut []*clientConn
 	for client := range f.clients {
-		switch {
-		case client.isStalled(now):
+		if client.isStalled(now) || client.isIdle(now) {
+			timedOut = append(timedOut, client)
+		}
+	}
+	slices.SortFunc(timedOut, func(a, b *clientConn) int { return cmp.Compare(a.number, b.number) })
+	for _, client := range timedOut {
+		if client.isStalled(now) {
 			f.log.Warn("client message timed out", "has_message", client.hasMessage)
-			client.end()
-		case client.isIdle(now):
-			client.end()
 		}
+		client.end()
 	}
 }
 
--- a/internal/clientfront/unreported.go
+++ b/internal/clientfront/unreported.go
@@ -59,7 +59,7 @@
 	if usage, otherUsage := c.usage(), other.usage(); usage != otherUsage {
 		return usage > otherUsage
 	}
-	return c.lastActiveAt > other.lastActiveAt
+	return c.lastActiveAt > other.lastActiveAt || c.lastActiveAt == other.lastActiveAt && c.number > other.number
 }
 
 // reportOverdue sends the unreported completions to any client once the first has waited long enough.
--- a/internal/clientfront/usage_test.go
+++ b/internal/clientfront/usage_test.go
@@ -3,10 +3,11 @@
 import "testing"
 
 // A connection of a higher usage reports completions first, and is evicted last; among equals the one that was
-// active later.
+// active later, and among those of one turn the one that came later.
 func TestConnectionsByUsage(t *testing.T) {
 	byUsage := []*clientConn{
-		{lastActiveAt: 9},
+		{lastActiveAt: 9, number: 1},
+		{lastActiveAt: 9, number: 2},
 		{lastActiveAt: 8, partialSince: 8},
 		{lastActiveAt: 5, hasMessage: true},
 		{lastActiveAt: 6, hasMessage: true, partialSince: 6},
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -169,13 +169,19 @@
 	}
 	c.queued = nil
 	c.resendReleases()
-	byAge := func(a, b *openOffer) int { return cmp.Compare(a.offeredAt, b.offeredAt) }
-	for _, offer := range slices.SortedFunc(maps.Values(c.openOffers), byAge) {
+	for _, offer := range c.offersInOrder() {
 		c.sendOffer(offer)
 	}
 	l.pruneConns()
 }
 
+// offersInOrder returns the open offers in the order in which the dispatcher made them: those of one turn have the same
+// age, and the scheduler places tasks of high priority first.
+func (c *workerConn) offersInOrder() []*openOffer {
+	byNumber := func(a, b *openOffer) int { return cmp.Compare(a.number, b.number) }
+	return slices.SortedFunc(maps.Values(c.openOffers), byNumber)
+}
+
 // Closed implements eventloop.Handler.
 func (c *workerConn) Closed(_ *eventloop.Conn, err error) {
 	if open := len(c.openOffers); open > 0 || !errors.Is(err, eventloop.ErrEOF) {
--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -5,8 +5,6 @@
 // client may have disconnected.
 
 import (
-	"maps"
-	"slices"
 	"strconv"
 
 	"ravenhitch/internal/dispatch"
@@ -28,6 +26,7 @@
 // openOffer is an offer without an answer.
 type openOffer struct {
 	dispatch.Offer
+	number    uint64 // of all offers of this process, in order
 	offeredAt int64
 	deadline  int64 // when the dispatcher abandons it
 	endOffset int64 // of its last byte in what was written on its connection, 0 until it is written
@@ -48,7 +47,8 @@
 // Offer implements dispatch.WorkerPool.
 func (p *Pool) Offer(worker string, offer dispatch.Offer) {
 	now := p.loop.Now()
-	p.putOffer(worker, &openOffer{Offer: offer, offeredAt: now, deadline: now + offer.TimeoutUs})
+	p.offers++
+	p.putOffer(worker, &openOffer{Offer: offer, number: p.offers, offeredAt: now, deadline: now + offer.TimeoutUs})
 }
 
 // putOffer puts an offer on a connection to the worker, on which it is sent once that is up.
@@ -169,8 +169,8 @@
 // connection came up, its attempt ends.
 func (c *workerConn) settleOffers(err error) (resend []*openOffer) {
 	l, pool := c.link, c.link.pool
-	for _, requestID := range slices.Sorted(maps.Keys(c.openOffers)) {
-		offer := c.openOffers[requestID]
+	for _, offer := range c.offersInOrder() {
+		requestID := offer.RequestID
 		switch {
 		case offer.isSent(c.conn):
 			pool.trace("connection lost with offer open", requestID, "worker", l.workerID, "err", err)
--- a/internal/workerpool/offer_test.go
+++ b/internal/workerpool/offer_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
 	"golang.org/x/sys/unix"
 
 	"ravenhitch/internal/dispatch"
+	"ravenhitch/internal/testbed"
 	"ravenhitch/internal/testbed/nettest"
 	"ravenhitch/placement"
 )
@@ -91,3 +94,42 @@
 		})
 	}
 }
+
+// Given offers that wait for one connection, they leave in the order in which they were made. They were sorted by their
+// age, which is the same for all of one turn, so that they left in the order of a map: the same seed played differently,
+// and a task of low priority could go ahead of one of high priority.
+func TestWaitingOffersLeaveInOrder(t *testing.T) {
+	lt := newLinkTest(t)
+	lt.listWorker()
+	const offers = 20
+	var made []string
+	for i := range offers {
+		submission := newSubmission()
+		submission.RequestID = testbed.RequestID(offers - i) // against the order of request IDs
+		submission.Key = submission.RequestID
+		if err := lt.dispatcher.Submit(lt.loop.Now(), nil, submission); err != nil {
+			t.Fatal(err)
+		}
+		lt.pool.Offer(workerName, offerOf(submission))
+		made = append(made, submission.RequestID)
+	}
+	var sent []string
+	go func() {
+		defer lt.loop.Post(lt.loop.Stop)
+		scanner := bufio.NewScanner(nettest.Accept(t, lt.listener))
+		for len(sent) < offers && scanner.Scan() {
+			var line testbed.Line
+			if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+				t.Error(err)
+				return
+			}
+			sent = append(sent, line.Tag)
+		}
+	}()
+	if err := lt.loop.Run(func(int64) { lt.pool.DeliverPending() }); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(sent, made) {
+		t.Errorf("made %v, sent %v", made, sent)
+	}
+}
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -43,6 +43,7 @@
 	links         map[string]*link
 	sortedLinks   []*link                  // links by worker ID, nil where that is to be sorted anew
 	isAssigned    func(worker string) bool // this orchestrator places tasks there, nil: at all workers
+	offers        uint64                   // offers so far
 	offersSent    int64                    // offers that were sent completely and are settled
 	outcomes      []func()                 // found during calls of the dispatcher, and not reported yet
 	delayedOffers []delayedOffer           // wait until their clients are seen
