--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -25,7 +25,9 @@
 	workers []*worker
 	address string
 	path    *testbed.Proxy // to discovery
-	config  string         // the file's path
+	// pathFaulted is held while a fault of discovery lasts: one that would begin meanwhile is left out.
+	pathFaulted sync.Mutex
+	config      string // the file's path
 
 	mu        sync.Mutex // guards discovery
 	discovery *testbed.Discovery
