--- a/cmd/ravenhitch/admin.go
+++ b/cmd/ravenhitch/admin.go
@@ -56,7 +56,7 @@
 	case a.server.shuttingDown:
 		answer(admin.ErrorReply("ending"))
 	case !a.server.follower.Synced():
-		answer(admin.ErrorReply("the list of minions is not up to date"))
+		answer(admin.ErrorReply("the list of workers is not up to date"))
 	case a.claimedServing:
 		answer(admin.OKReply())
 	default:
@@ -68,7 +68,7 @@
 func (a *adminCalls) cordon(call admin.Call, answer func([]byte)) {
 	s := a.server
 	if !s.dispatcher.HasWorker(call.ID) {
-		answer(admin.ErrorReply("no minion " + call.ID))
+		answer(admin.ErrorReply("no worker " + call.ID))
 		return
 	}
 	var cordons admin.Cordons
--- a/cmd/ravenhitch/handover_test.go
+++ b/cmd/ravenhitch/handover_test.go
@@ -89,9 +89,9 @@
 func expectAdminAnswers(t *testing.T, process *managedProcess) {
 	t.Helper()
 	for call, want := range map[string]string{
-		"OFFLINE x": "-ERR no minion x\n",
+		"OFFLINE x": "-ERR no worker x\n",
 		"OFFLINE a": "+OK\n",
-		"ONLINE x":  "-ERR no minion x\n",
+		"ONLINE x":  "-ERR no worker x\n",
 		"DUMP" + strings.Repeat(" ", admin.MaxCallLength): "-ERR expected a call of at most 512 bytes\n",
 	} {
 		if got := process.call(t, call); got != want {
--- a/cmd/ravenhitch/recording.go
+++ b/cmd/ravenhitch/recording.go
@@ -42,7 +42,7 @@
 	verdict := rig.Judge()
 	failures := slices.Concat(host.failures, verdict.Violations)
 	if unanswered := len(placed.Unanswered()); unanswered > 0 {
-		failures = append(failures, fmt.Sprintf("%d set-ups without an answer", unanswered))
+		failures = append(failures, fmt.Sprintf("%d requests without a response", unanswered))
 	}
 	r := recording{Programs: c.Programs, Schedule: testbed.FormatSchedule(steps), Verdict: verdict.String(), Failures: failures,
 		Total: placed.Total(), P99Ms: milliseconds(placed.P99()), Seconds: placed.Seconds()}
--- a/internal/admin/call.go
+++ b/internal/admin/call.go
@@ -79,7 +79,7 @@
 		return Call{Verb: verb}, nil
 	}
 	if !validWorkerID(words[1]) {
-		return Call{}, &CallError{Verb: verb, Want: fmt.Sprintf("the id of a minion, of 1 to %d bytes", maxWorkerIDLength)}
+		return Call{}, &CallError{Verb: verb, Want: fmt.Sprintf("the ID of a worker, of 1 to %d bytes", maxWorkerIDLength)}
 	}
 	return Call{Verb: verb, ID: words[1]}, nil
 }
--- a/internal/admin/call_test.go
+++ b/internal/admin/call_test.go
@@ -42,7 +42,7 @@
 		{"health", "-ERR malformed call: expected HEALTH, DUMP, PEERS, OFFLINE ID or ONLINE ID, got \"health\"\n"},
 		{"HEALTH now", "-ERR malformed call: HEALTH: expected 1 words, got 2\n"},
 		{"OFFLINE", "-ERR malformed call: OFFLINE: expected 2 words, got 1\n"},
-		{"ONLINE a\x01", "-ERR malformed call: ONLINE: expected the id of a minion, of 1 to 128 bytes\n"},
+		{"ONLINE a\x01", "-ERR malformed call: ONLINE: expected the ID of a worker, of 1 to 128 bytes\n"},
 		{"GET / HTTP/1.1", "-ERR malformed call: expected HEALTH, DUMP, PEERS, OFFLINE ID or ONLINE ID, got \"GET\"\n"},
 	} {
 		_, err := ParseCall(test.line)
--- a/internal/admin/cordons.go
+++ b/internal/admin/cordons.go
@@ -74,7 +74,7 @@
 	}
 	for i, id := range lines[1 : count-2] {
 		if call, err := ParseCall(string(Offline) + " " + id); err != nil || call.ID != id {
-			return nil, &CordonsError{Path: path, Line: i + 2, Want: "the id of a minion", Got: fmt.Sprintf("%.40q", id)}
+			return nil, &CordonsError{Path: path, Line: i + 2, Want: "the ID of a worker", Got: fmt.Sprintf("%.40q", id)}
 		}
 		cordons[id] = true
 	}
--- a/internal/dispatch/tasks.go
+++ b/internal/dispatch/tasks.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// unlistedTimeout is how long a task may run on a worker that left the list: long enough for
-	// the worker's own report on it, which comes by another connection. The list may name a removed
-	// worker some seconds late, and the end of a task that ended with it must be reported within 8 s.
+	// unlistedTimeout is how long a task may run on a worker that left the list: its own report on
+	// the end may still come.
 	unlistedTimeout = 1 * second
 	// adoptedUnlistedTimeout is the same for an adopted task on a worker that no list ever named:
 	// nobody else will report its end.
--- a/internal/workerpool/cancel_confirmations.go
+++ b/internal/workerpool/cancel_confirmations.go
@@ -13,9 +13,8 @@
 )
 
 // confirmationTimeout is how long nothing at all may come in on a connection after a cancel was written there,
-// the ping's answer included: a ping waits behind what the worker is doing, and it may take three of its slowest
-// decisions on an offer, of 34 ms each. Where other messages come, a ping may take as long as a connection
-// may take to come up.
+// the ping's answer included: a ping waits behind the worker's decisions on offers. Where other messages come, a ping
+// may take as long as a connection may take to come up.
 const confirmationTimeout = 100 * millisecond
 
 // cancelConfirmations are the cancels written on one connection that the worker is not known to have read. One
--- a/internal/workerpool/close_transit.go
+++ b/internal/workerpool/close_transit.go
@@ -7,8 +7,7 @@
 
 // A close is in transit to the worker for as long as a message is, and nothing reports its arrival. So what a
 // close cancels is over once a message there and back could have been in transit: the shortest time that a
-// connection to that worker took to come up, at least minCloseTransit (twice the one-way delay between
-// zones is 0.78 ms), and at most the slack that the protocol puts on every limit.
+// connection to that worker took to come up, within these bounds. The upper one is the protocol's slack.
 const (
 	minCloseTransit = 2 * millisecond
 	maxCloseTransit = 50 * millisecond
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -19,11 +19,9 @@
 	// are sent on a new one.
 	staleAfter = 400 * millisecond
 	// maxReadGap is how long nothing may come in on a connection to a worker where tasks run before another is
-	// dialled: the old one may be dead without a sign, and the completions of tasks come on the next. A
-	// completion not reported for 8 s is lost.
+	// dialled: a completion not reported for 8 s is lost.
 	maxReadGap = 3 * second
-	// partialMessageTimeout is how long an incomplete message may wait for its rest. Workers write a message at
-	// once: an incomplete one spoils all that would come behind it.
+	// partialMessageTimeout is how long an incomplete message may wait for its rest: it holds up all behind it.
 	partialMessageTimeout = 250 * millisecond
 	// keepAliveSlack is how much longer than TCP keepalive's interval the answer to its probe may take.
 	keepAliveSlack = second
--- a/internal/workerpool/liveness.go
+++ b/internal/workerpool/liveness.go
@@ -10,8 +10,7 @@
 
 const (
 	// deadAfterRefused is how long a worker may refuse connections and send nothing on those that it has
-	// before it counts as dead: well over the pause of a busy one, and with maxReadGap and two sweeps before
-	// it still under the 8 s in which a completion must be reported.
+	// before it counts as dead: under the 8 s in which a completion must be reported.
 	deadAfterRefused = 2 * second
 	// deadAfterRefusedUnpinged is the same where the deployment allows no pings.
 	deadAfterRefusedUnpinged = 4 * second
--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	// maxClientLastSeenAge is how long ago the client may have been last seen when its offer is sent. For a
-	// client that disconnected 0.1 s ago no attempt may begin; the other half of that is for the rest of
-	// the turn, up to the write.
+	// maxClientLastSeenAge is how long ago the client may have been last seen when its offer is sent: for one
+	// that disconnected 0.1 s ago no attempt may begin.
 	maxClientLastSeenAge = 50 * millisecond
 	// maxOfferTries is on how many connections an offer is tried where they break before it is sent; after that
 	// it counts as never connected.
--- a/placement/worker.go
+++ b/placement/worker.go
@@ -11,8 +11,7 @@
 const (
 	// sustainedViews is of how many views a worker keeps the free capacity.
 	sustainedViews = 4
-	// calibrationHalflife is in what time half of a learned calibration is forgotten: troubles
-	// last some ten seconds, and what goes on is reported again each second.
+	// calibrationHalflife is in what time half of a learned calibration is forgotten.
 	calibrationHalflife = 8 * second
 	// suspicionHalflife is in what time half of a suspicion is forgotten.
 	suspicionHalflife = 6 * second
--- a/test/backpressure/rig_test.go
+++ b/test/backpressure/rig_test.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -33,12 +32,7 @@
 	if err != nil {
 		return "", err
 	}
-	binary := filepath.Join(directory, "ravenhitch")
-	out, err := exec.Command("go", "build", "-o", binary, "ravenhitch/cmd/ravenhitch").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return binary, nil
+	return testbed.BuildProgram(directory)
 })
 
 // rigOptions say what a rig is made of.
--- a/test/scale/rig_test.go
+++ b/test/scale/rig_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -13,6 +12,7 @@
 	"time"
 
 	"ravenhitch/internal/shard"
+	"ravenhitch/internal/testbed"
 	"ravenhitch/internal/testbed/hollow"
 )
 
@@ -38,12 +38,7 @@
 	if err != nil {
 		return "", err
 	}
-	binary := filepath.Join(directory, "ravenhitch")
-	out, err := exec.Command("go", "build", "-o", binary, "ravenhitch/cmd/ravenhitch").CombinedOutput()
-	if err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return binary, nil
+	return testbed.BuildProgram(directory)
 })
 
 var errDescriptors = errors.New("the sockets of this run don't fit the descriptors of this process")
