Make room for no client where the loop has no descriptor, as before

Cause: the call that makes room was also made where the event loop itself has no free descriptor, so that an idle client, or an admin call, could be closed for a connection that still could not be accepted. Found on reading the change again, before any run showed it.

Change: without a descriptor the listener pauses, as it did.

--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -127,15 +127,17 @@
 func (l *Loop) acceptAll(listener *listener) {
 	listener.queued = true
 	for range maxAcceptsPerTurn {
-		hasCapacity := l.FreeDescriptors() > 0 && listener.admission.HasCapacity()
-		if !hasCapacity && !isQueued(listener.fd) {
-			l.noneQueued(listener)
-			return
-		}
-		// An admission may close a connection of another client: that must not happen where nobody waits.
-		if !hasCapacity && (!listener.admission.MakeCapacity() || l.FreeDescriptors() <= 0) {
-			l.pause(listener)
-			return
+		hasDescriptor := l.FreeDescriptors() > 0
+		if !hasDescriptor || !listener.admission.HasCapacity() {
+			if !isQueued(listener.fd) {
+				l.noneQueued(listener)
+				return
+			}
+			// An admission may close a connection of another client: that must not happen where nobody waits.
+			if !hasDescriptor || !listener.admission.MakeCapacity() {
+				l.pause(listener)
+				return
+			}
 		}
 		fd, _, err := unix.Accept4(listener.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
