Testbed: end an attempt with its worker's connection behind a proxy too

The offer was in transit in the proxy as the orchestrator closed the connection (half a message of another task had come), so the proxy recorded the close first and the worker the offer after that, for ever in flight.

Change: the end of the worker's own side of a connection ends the attempts on it, as it does for workers that are reached directly. What an orchestrator has not closed is in flight as before.

--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -146,9 +146,8 @@
 	w.connectionEnds = append(w.connectionEnds, time.Now())
 	maps.DeleteFunc(w.offerConnections, func(_ string, offered net.Conn) bool { return offered == conn })
 	w.mu.Unlock()
-	if w.proxyAddress == "" {
-		w.Attempts.connectionClosed(conn.RemoteAddr().String())
-	}
+	// Also behind a proxy, which has recorded the close when it came: the worker may have read an offer after that.
+	w.Attempts.connectionClosed(conn.RemoteAddr().String())
 	for _, line := range open {
 		select {
 		case w.LostOffers <- line:
