Log the age of an offer that is lost with its connection

'connection lost with offer open' now says how long ago the offer was written (offer_age_us) and for how long nothing had come on the connection (quiet_us).

--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -30,6 +30,7 @@
 	offeredAt int64  // time at which the dispatcher made the offer
 	deadline  int64  // time at which the dispatcher abandons the attempt
 	endOffset int64  // offset of the end of the offer in the bytes written on its connection, 0 until it is written
+	writtenAt int64  // time at which the offer was last written on a connection
 	tries     int    // number of connections on which the offer was tried
 }
 
@@ -131,6 +132,7 @@
 	m := offerMessage(offer, pool.loop.Now())
 	c.conn.Write(jsonlines.Append(nil, &m))
 	offer.endOffset = c.conn.BytesWritten()
+	offer.writtenAt = pool.loop.Clock()
 }
 
 // offerMessage returns the wire message for an offer that is sent now. The remaining time that the message states
@@ -183,7 +185,8 @@
 		requestID := offer.RequestID
 		switch {
 		case offer.isSent(c.conn):
-			pool.trace("connection lost with offer open", requestID, "worker", l.workerID, "err", err)
+			pool.trace("connection lost with offer open", requestID, "worker", l.workerID, "err", err,
+				"offer_age_us", pool.loop.Clock()-offer.writtenAt, "quiet_us", pool.loop.Now()-c.lastReadAt)
 			l.reportReset(requestID)
 		case l.listed && offer.tries < maxOfferTries && isDisconnect(err):
 			pool.trace("offer moved to another connection", requestID, "worker", l.workerID, "err", err)
