Take the end of a lost task while the reset of its offer waits

What callers would have seen: a task that was over was begun again elsewhere, and they learned of its end late.

Cause: between the end of a connection and the report of the reset the request is 'offered'. A worker whose acceptance was lost with the connection reports the end of the task on the next one, once, and AbandonedTaskEnded ignored it in that state.

Change: the pool knows the offers whose resets wait, and hands such an end to Dispatcher.LostTaskEnded, which fails the request if the end shows that the task ran. Every other report leaves the attempt as it is.

--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -222,3 +222,38 @@
 		}
 	})
 }
+
+// If a worker reports an end which shows that the task of a lost offer ran, the request fails at once, even if the loss
+// is not reported yet. Any other report leaves the attempt open.
+func TestLostTaskEnded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		age  int64 // time since the offer
+	}{
+		{"attempt open", 10 * millisecond},
+		{"attempt timed out, cancel not confirmed", 500 * millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.updateWorkers(placement.ListFull, placement.Ready, "a")
+			h.mustStart("t0", 5000) // the scheduler derives a short timeout for later attempts from this quick acceptance
+			h.withholdConfirm = true
+			h.mustSubmit("t1", "web", "k1", 2000)
+			h.advance(10 * millisecond)
+			worker := h.offered["t1"]
+			h.advance(test.age)
+
+			h.LostTaskEnded(h.now, worker, "t1", placement.Rejected, 0)
+			h.LostTaskEnded(h.now, worker, "t1", placement.Reset, 0)
+			h.LostTaskEnded(h.now, "b", "t1", placement.Reset, placement.CauseDrained)
+			if _, answered := h.finalResponses["t1"]; answered || h.OpenCount() != 1 || len(h.offers) != 2 {
+				t.Fatalf("offers %v, responses %v after reports that do not show that t1 ran; want 2 offers and t1 still open",
+					h.offers, h.received)
+			}
+			h.LostTaskEnded(h.now, worker, "t1", placement.Reset, placement.CauseDrained)
+			if h.finalResponses["t1"] != Failed || h.Contains("t1") {
+				t.Errorf("responses %v, want a failure of t1, removed from the table", h.received)
+			}
+		})
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -107,6 +107,21 @@
 	}
 }
 
+// LostTaskEnded handles a worker's report on the end of a task whose offer was lost with its connection, if TaskEnded has
+// not been called for the lost offer yet. If the task ran, the request fails, because another attempt would run the task
+// again.
+func (d *Dispatcher) LostTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
+	d.now = now
+	r := d.requests[requestID]
+	if r == nil || r.worker != worker || r.state != stateOffered {
+		d.AbandonedTaskEnded(now, worker, requestID, outcome, cause)
+		return
+	}
+	if hasRun(outcome, cause) {
+		d.unacceptedTaskEnded(r, cause)
+	}
+}
+
 // hasRun reports whether the end of an attempt shows that the task ran although its acceptance was not
 // received: the task completed, or it ended for a cause that only an accepted task can have.
 func hasRun(outcome placement.Outcome, cause placement.Cause) bool {
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -127,10 +127,12 @@
 	switch {
 	case mayHaveRun && (dispatcher.IsRunning(m.Tag) || dispatcher.IsTerminating(m.Tag)):
 		dispatcher.TaskEnded(now, worker, m.Tag, outcome, cause)
-	case dispatcher.Contains(m.Tag):
-		dispatcher.AbandonedTaskEnded(now, worker, m.Tag, outcome, cause)
-	default:
+	case !dispatcher.Contains(m.Tag):
 		dispatcher.UnknownTaskEnded(now, worker, m.Tag, outcome, cause)
+	case c.link.pendingResets[m.Tag]:
+		dispatcher.LostTaskEnded(now, worker, m.Tag, outcome, cause)
+	default:
+		dispatcher.AbandonedTaskEnded(now, worker, m.Tag, outcome, cause)
 	}
 }
 
