Wait until a worker can have read a lost offer before its request is offered again

Cause: an offer that was lost with its connection counted as over after one round trip, measured as the time in which a connection comes up: 2 ms on loopback. The worker's system accepts connections without its process, which may read later, also what had arrived before a reset. The connection is often aborted for another request whose cancel finds nothing received since its offer, so lost offers are a few ms old.

By the protocol's page an attempt is out from its whole arrival until it is given up, and a close gives up the set-ups that are open. It says nothing of when the worker reads the close, behind the offer. So the orchestrator owes to start no other attempt while the first offer can still arrive.

Change: link.reportReset waits until the close can have arrived, as before, and until 100 ms after the offer was written (maxReadDelay, the time that a ping behind a cancel has). Older offers are not delayed.

--- a/cmd/ravenhitch/tracerecorder_test.go
+++ b/cmd/ravenhitch/tracerecorder_test.go
@@ -16,20 +16,34 @@
 // attempt, another offer of the same request within this time is too early.
 const minCloseTravelUs = 2 * millisecond
 
+// minReadTimeUs is a time in microseconds. The server must assume that the worker's process may take this time to read an
+// offer, even if the connection has ended. The constant equals maxReadDelay in package workerpool. If the end of the
+// connection ends an attempt, another offer of the same request within this time after the earlier offer is too early.
+const minReadTimeUs = 100 * millisecond
+
 // traceRecorder is a log handler that records the offers that were sent too early. An offer is too early if it is
-// sent less than minCloseTravelUs after the request's previous attempt was cancelled or lost its connection. A
-// confirmed cancel does not count. traceRecorder also records when the log reported the end of a connection to a
-// worker. A refused connection counts as ended.
+// sent less than minCloseTravelUs after the request's previous attempt was cancelled or lost its connection, or less than
+// minReadTimeUs after the previous attempt was offered. A confirmed cancel does not count. traceRecorder also records
+// when the log reported the end of a connection to a worker. A refused connection counts as ended.
 type traceRecorder struct {
 	slog.Handler
 	mu             sync.Mutex
+	offeredAt      map[string]int64 // time of the latest offer, in microseconds, by request ID
 	cancelledAt    map[string]int64 // time of an unconfirmed cancel or a lost connection, in microseconds, by request ID
+	lostOffers     int              // number of offers that were lost with their connections
 	earlyOffers    []string         // descriptions of the offers that were sent too early
 	connectionEnds []time.Time      // in the order in which the connections ended
 }
 
 func newTraceRecorder() *traceRecorder {
-	return &traceRecorder{Handler: slog.DiscardHandler, cancelledAt: map[string]int64{}}
+	return &traceRecorder{Handler: slog.DiscardHandler, offeredAt: map[string]int64{}, cancelledAt: map[string]int64{}}
+}
+
+// lostOfferCount returns the number of offers that were lost with their connections.
+func (r *traceRecorder) lostOfferCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostOffers
 }
 
 // closingDuration returns the time between the first and the last recorded end of a connection to a worker.
@@ -74,10 +88,13 @@
 	switch record.Message {
 	case "worker connection closed":
 		r.connectionEnds = append(r.connectionEnds, record.Time)
-	case "cancelling attempt", "connection lost with offer open":
+	case "cancelling attempt":
 		if written { // an offer that was never sent does not count
 			r.cancelledAt[requestID] = atUs
 		}
+	case "connection lost with offer open":
+		r.cancelledAt[requestID] = atUs
+		r.lostOffers++
 	case "cancel confirmed":
 		delete(r.cancelledAt, requestID)
 	case "offer":
@@ -86,11 +103,20 @@
 	return nil
 }
 
+// noteOffer records an offer of a request.
 func (r *traceRecorder) noteOffer(requestID string, atUs int64) {
-	if cancelledAt, ok := r.cancelledAt[requestID]; ok && atUs-cancelledAt < minCloseTravelUs {
-		r.earlyOffers = append(r.earlyOffers,
-			fmt.Sprintf("request %s was offered %d us after its previous attempt was abandoned, want at least %d us",
-				requestID, atUs-cancelledAt, minCloseTravelUs))
+	if cancelledAt, ok := r.cancelledAt[requestID]; ok {
+		r.expectPassed(requestID, "was abandoned", atUs-cancelledAt, minCloseTravelUs)
+		r.expectPassed(requestID, "was offered", atUs-r.offeredAt[requestID], minReadTimeUs)
 	}
 	delete(r.cancelledAt, requestID)
+	r.offeredAt[requestID] = atUs
+}
+
+// expectPassed records an early offer if less than a minimum time has passed since an event of the previous attempt.
+func (r *traceRecorder) expectPassed(requestID, event string, passedUs, wantUs int64) {
+	if passedUs < wantUs {
+		r.earlyOffers = append(r.earlyOffers, fmt.Sprintf("request %s was offered %d us after its previous attempt %s, want at least %d us",
+			requestID, passedUs, event, wantUs))
+	}
 }
--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -187,7 +187,7 @@
 		case offer.isSent(c.conn):
 			pool.trace("connection lost with offer open", requestID, "worker", l.workerID, "err", err,
 				"offer_age_us", pool.loop.Clock()-offer.writtenAt, "quiet_us", pool.loop.Now()-c.lastReadAt)
-			l.reportReset(requestID)
+			l.reportReset(offer)
 		case l.listed && offer.tries < maxOfferTries && isDisconnect(err):
 			pool.trace("offer moved to another connection", requestID, "worker", l.workerID, "err", err)
 			resend = append(resend, offer)
