--- a/cmd/ravenhitch/tracerecorder_test.go
+++ b/cmd/ravenhitch/tracerecorder_test.go
@@ -16,14 +16,14 @@
 // attempt, another offer of the same request within this time is too early.
 const minCloseTravelUs = 2 * millisecond
 
-// minReadTimeUs is a time in microseconds. The server must assume that the worker's process may take this time to read an
+// maxReadDelayUs is a time in microseconds. The server must assume that the worker's process may take this time to read an
 // offer, even if the connection has ended. The constant equals maxReadDelay in package workerpool. If the end of the
 // connection ends an attempt, another offer of the same request within this time after the earlier offer is too early.
-const minReadTimeUs = 100 * millisecond
+const maxReadDelayUs = 100 * millisecond
 
 // traceRecorder is a log handler that records the offers that were sent too early. An offer is too early if it is
 // sent less than minCloseTravelUs after the request's previous attempt was cancelled or lost its connection, or less than
-// minReadTimeUs after the previous attempt was offered. A confirmed cancel does not count. traceRecorder also records
+// maxReadDelayUs after the previous attempt was offered. A confirmed cancel does not count. traceRecorder also records
 // when the log reported the end of a connection to a worker. A refused connection counts as ended.
 type traceRecorder struct {
 	slog.Handler
@@ -107,7 +107,7 @@
 func (r *traceRecorder) noteOffer(requestID string, atUs int64) {
 	if cancelledAt, ok := r.cancelledAt[requestID]; ok {
 		r.expectPassed(requestID, "was abandoned", atUs-cancelledAt, minCloseTravelUs)
-		r.expectPassed(requestID, "was offered", atUs-r.offeredAt[requestID], minReadTimeUs)
+		r.expectPassed(requestID, "was offered", atUs-r.offeredAt[requestID], maxReadDelayUs)
 	}
 	delete(r.cancelledAt, requestID)
 	r.offeredAt[requestID] = atUs
--- a/internal/dispatch/attempt_test.go
+++ b/internal/dispatch/attempt_test.go
@@ -257,3 +257,23 @@
 		})
 	}
 }
+
+// A report on the end of a lost task may come after the attempt has ended, while the request is pending.
+func TestLostTaskEndedWhilePending(t *testing.T) {
+	h := newHarness(t)
+	h.updateWorkers(placement.ListFull, placement.Ready, "a")
+	h.mustSubmit("t1", "web", "k1", 2000)
+	h.advance(10 * millisecond)
+	worker := h.offered["t1"]
+	h.updateWorkers(placement.ListDelta, placement.Draining, "a")
+	h.endAttempt("t1", placement.Reset)
+	h.advance(10 * millisecond)
+	if h.OpenCount() != 1 || len(h.offers) != 1 {
+		t.Fatalf("offers %v, responses %v; want 1 offer and t1 still open", h.offers, h.received)
+	}
+	h.LostTaskEnded(h.now, worker, "t1", placement.Reset, placement.CauseDrained)
+	h.advance(10 * millisecond)
+	if h.finalResponses["t1"] != Failed || h.Contains("t1") {
+		t.Errorf("responses %v, want a failure of t1, removed from the table", h.received)
+	}
+}
--- a/internal/workerpool/close_transit_test.go
+++ b/internal/workerpool/close_transit_test.go
@@ -42,21 +42,20 @@
 	if err := lt.dispatcher.Submit(lt.loop.Now(), discardingClient{}, newSubmission()); err != nil {
 		t.Fatal(err)
 	}
-	var offer *openOffer // the offer, once its connection is closed
+	sentAt := int64(0) // beginning of the turn in which the offer was sent and its connection closed
 	lt.runUntil(func() bool {
-		if offer != nil {
+		if sentAt != 0 {
 			return !l.pendingResets[requestID]
 		}
 		c := l.conns[0]
 		if c.writtenOffer(requestID) != nil && c.conn.Flush() {
-			offer = c.openOffers[requestID]
+			sentAt = lt.loop.Now()
 			c.close(errUnresponsive)
 		}
 		return false
 	})
-	if now := lt.loop.Now(); now < offer.writtenAt+maxReadDelay {
-		t.Errorf("the reset was reported %d us after the offer was written, want at least %d us",
-			now-offer.writtenAt, maxReadDelay)
+	if now := lt.loop.Now(); now < sentAt+maxReadDelay {
+		t.Errorf("the reset was reported %d us after the offer was sent, want at least %d us", now-sentAt, maxReadDelay)
 	}
 }
 
