Let no connection come up while a proxy of the testbed cuts a path

It is a fault of the rig; callers of the program cannot meet it.

Cause: Proxy.Partition filled the listener's backlog until a dial took over 50 ms, while the goroutine that accepts was still running. Woken for a connection, it took one out of the backlog after the last dial was dropped, and that dial sends its SYN again only after 1 s. So one place was free, the orchestrator's next connection got it, and what it sent and took back by a reset in the cut was forwarded after it.

Change: the listener drops all packets during a cut by a socket filter, so no connection can come up. Heal asks the kernel which connections were reset in the cut and forwards nothing on them; one that was reset before it was accepted is not forwarded either. The check of the soak is untouched.

--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -18,10 +19,8 @@
 //   - No connection is established.
 
 const (
-	proxyBuffer     = 16 << 10 // maximum size of one read in bytes
-	maxSegments     = 10_000   // maximum number of segments per connection that wait to be forwarded
-	normalBacklog   = 1024
-	backlogFullTime = 50 * time.Millisecond // a dial that takes longer shows that the backlog is full
+	proxyBuffer = 16 << 10 // maximum size of one read in bytes
+	maxSegments = 10_000   // maximum number of segments per connection that wait to be forwarded
 )
 
 // Proxy forwards connections to one address and injects network faults.
@@ -36,10 +35,11 @@
 	partitioned bool
 	muted       bool // data from the worker is held back
 	closed      bool
-	returned    int                 // number of reads from the worker that were forwarded
-	stranded    map[net.Conn]bool   // connections that Blackhole keeps open without forwarding anything
-	fillers     map[string]net.Conn // connections that fill the backlog during a partition, by local address
-	connections []net.Conn          // both sides of each connection
+	returned    int // number of reads from the worker that were forwarded
+	// stranded contains the orchestrator's side of each connection on which nothing is forwarded any more: it was open
+	// when Blackhole was called, or the orchestrator reset it during a partition.
+	stranded    map[net.Conn]bool
+	connections []net.Conn // both sides of each connection
 }
 
 // NewProxy returns a proxy that forwards to a worker. The worker's list entries then have the
@@ -54,11 +54,13 @@
 func NewProxyTo(t Host, addr string) *Proxy { return newProxy(t, addr, nil) }
 
 func newProxy(t Host, target string, attempts *AttemptLog) *Proxy {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // dropPackets needs plain TCP
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Proxy{listener: listener.(*net.TCPListener), target: target, attempts: attempts, fillers: map[string]net.Conn{}}
+	p := &Proxy{listener: listener.(*net.TCPListener), target: target, attempts: attempts, stranded: map[net.Conn]bool{}}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept()
 	t.Cleanup(p.close)
@@ -84,7 +86,6 @@
 func (p *Proxy) Blackhole() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stranded = map[net.Conn]bool{}
 	for _, conn := range p.connections {
 		p.stranded[conn] = true
 	}
@@ -127,38 +128,30 @@
 }
 
 // Partition separates the orchestrator from the worker until Heal: no data passes in either
-// direction, and no connection is established.
+// direction, and no connection is established. A connection that the kernel established before the partition
+// but that the proxy has not accepted yet stays open, and its data is held back.
 func (p *Proxy) Partition(t Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.partitioned = true
-	p.setAcceptDeadline(t, time.Unix(1, 0)) // the past deadline makes a blocked Accept return
-	setBacklog(t, p.listener, 0)
-	for {
-		conn, err := net.DialTimeout("tcp", p.listener.Addr().String(), backlogFullTime)
-		if err != nil {
-			return // the backlog is full
-		}
-		p.fillers[conn.LocalAddr().String()] = conn
-	}
+	dropPackets(t, p.listener)
 }
 
-// Heal ends a partition. Data that was held back is then forwarded.
+// Heal ends a partition. Data that was held back is then forwarded, except on connections that the orchestrator has
+// reset.
 func (p *Proxy) Heal(t Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	setBacklog(t, p.listener, normalBacklog)
-	p.setAcceptDeadline(t, time.Time{})
+	for _, conn := range p.connections {
+		if isReset(conn) {
+			p.stranded[conn] = true
+		}
+	}
+	receivePackets(t, p.listener)
 	p.partitioned = false
 	p.changed.Broadcast()
 }
 
-func (p *Proxy) setAcceptDeadline(t Host, deadline time.Time) {
-	if err := p.listener.SetDeadline(deadline); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // waitHealed waits for the end of a partition. It returns false if the proxy is closed.
 func (p *Proxy) waitHealed() bool {
 	p.mu.Lock()
@@ -188,12 +181,6 @@
 	return !p.stranded[conn]
 }
 
-func (p *Proxy) isPartitioned() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.partitioned
-}
-
 func (p *Proxy) currentDelay() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -207,16 +194,14 @@
 	return p.returned
 }
 
-// accept forwards connections until the proxy is closed.
+// accept forwards connections until the listener is closed or refuses connections.
 func (p *Proxy) accept() {
-	for p.waitHealed() {
+	for {
 		from, err := p.listener.Accept()
 		if err != nil {
-			continue
+			return
 		}
-		if filler := p.takeFiller(from); filler != nil {
-			CloseQuietly(filler)
-			CloseQuietly(from)
+		if !p.add(from) {
 			continue
 		}
 		to, err := net.Dial("tcp", p.target)
@@ -225,7 +210,7 @@
 			continue
 		}
 		p.mu.Lock()
-		p.connections = append(p.connections, from, to)
+		p.connections = append(p.connections, to)
 		p.mu.Unlock()
 		p.attempts.connected(to.LocalAddr().String(), func() bool { return closedByPeer(from.(*net.TCPConn)) })
 		go p.forward(from, to)
@@ -233,15 +218,17 @@
 	}
 }
 
-// takeFiller returns the dialing side of an accepted connection if Partition opened the connection to fill the
-// backlog, and nil otherwise.
-func (p *Proxy) takeFiller(accepted net.Conn) net.Conn {
+// add registers an accepted connection and reports whether to forward it. A connection that the orchestrator has reset
+// before is not forwarded, because a partition may have healed since the reset.
+func (p *Proxy) add(from net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	address := accepted.RemoteAddr().String()
-	filler := p.fillers[address]
-	delete(p.fillers, address)
-	return filler
+	if isReset(from) {
+		CloseQuietly(from)
+		return false
+	}
+	p.connections = append(p.connections, from)
+	return true
 }
 
 // segment is the result of one read from the orchestrator: the time of the read, and either the data or the error
@@ -260,15 +247,12 @@
 	go p.readSegments(from, to, segments, reset)
 	for next := range segments {
 		time.Sleep(time.Until(next.at.Add(p.currentDelay())))
-		wasPartitioned := p.isPartitioned()
 		if !p.waitForwarding(from) {
 			return
 		}
 		select {
 		case <-reset:
-			if !wasPartitioned {
-				ResetConnection(to)
-			} // a reset during a partition does not reach the worker, and the data that was held back is lost
+			ResetConnection(to)
 			return
 		default:
 		}
--- a/internal/testbed/sockets.go
+++ b/internal/testbed/sockets.go
@@ -1,6 +1,7 @@
 package testbed
 
 import (
+	"errors"
 	"io"
 	"net"
 
@@ -31,9 +32,22 @@
 	control(t, ln, func(fd int) error { return unix.Shutdown(fd, unix.SHUT_RD) })
 }
 
-// setBacklog sets the maximum number of connections that wait at a listener until they are accepted.
-func setBacklog(t Host, ln net.Listener, backlog int) {
-	control(t, ln, func(fd int) error { return unix.Listen(fd, backlog) })
+// dropPackets makes a listener drop all packets that arrive from now on, so that no connection is established.
+// Connections that are already established are not affected, even if they were not accepted yet.
+func dropPackets(t Host, ln net.Listener) {
+	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K} // the filter passes 0 bytes of each packet
+	program := &unix.SockFprog{Len: 1, Filter: &dropAll}
+	control(t, ln, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, program)
+	})
+}
+
+// receivePackets ends the effect of dropPackets.
+func receivePackets(t Host, ln net.Listener) {
+	const ignored = 0
+	control(t, ln, func(fd int) error {
+		return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, ignored)
+	})
 }
 
 // control calls a function with the file descriptor of a listener. If this fails, the test fails.
@@ -51,22 +65,39 @@
 	}
 }
 
+// Values of the field State of unix.TCPInfo, which the kernel's header tcp_states.h defines.
+const (
+	stateEstablished = 1
+	stateClosed      = 7
+)
+
 // closedByPeer reports whether the other side of a connection has closed it. It asks the kernel for the state of
 // the socket, so the result does not depend on how much was read from the connection. If the state cannot be read,
 // closedByPeer returns true.
 func closedByPeer(conn *net.TCPConn) bool {
+	state, err := socketState(conn)
+	return err != nil || state != stateEstablished
+}
+
+// isReset reports whether the other side of a connection has reset it. Like closedByPeer, it asks the kernel. If the
+// state cannot be read, for example because this side has closed the connection, isReset returns false.
+func isReset(conn net.Conn) bool {
+	state, err := socketState(conn.(*net.TCPConn))
+	return err == nil && state == stateClosed
+}
+
+// socketState returns the kernel's state of a TCP socket.
+func socketState(conn *net.TCPConn) (state uint8, err error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	state := uint8(0)
-	if err := raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
 			state = info.State
 		}
-	}); err != nil {
-		return true
-	}
-	const established = 1
-	return state != established
+	})
+	return state, errors.Join(err, infoErr)
 }
