Record the end of a soak client's connection when it happens

It is a fault of the rig; callers of the program cannot meet it.

Cause: the client recorded the end when it noticed it, and it does not receive during the 40 ms for which it pauses within a submission in two parts.

Change: testbed.Client keeps the time at which its reader met the end, and the soak records that time. The check and its limit are untouched.

--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"net"
+	"time"
 )
 
 // This file owns the stand-in client's connection. It must never reconnect by itself.
@@ -15,15 +16,22 @@
 type Client struct {
 	net.Conn
 	Lines chan Line // received messages, closed when the connection ends or a message cannot be parsed
+
+	endedAt time.Time // set before Lines is closed
 }
 
+// EndedAt returns the time when the client detected the end of the connection, or a message that cannot be parsed. It
+// may be called only after a receive has shown that Lines is closed. If the client reads Lines with a delay, this time
+// is earlier than the time of that receive.
+func (c *Client) EndedAt() time.Time { return c.endedAt }
+
 // Dial connects a client to addr. The caller closes the connection.
 func Dial(addr string) (*Client, error) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	client := &Client{conn, make(chan Line, maxUnread)}
+	client := &Client{Conn: conn, Lines: make(chan Line, maxUnread)}
 	go client.receive(conn)
 	return client, nil
 }
@@ -41,7 +49,10 @@
 // receive reads messages from conn until the connection ends or a message cannot be parsed. It doesn't read from
 // the connection embedded in the Client, because a test may replace that connection.
 func (c *Client) receive(conn net.Conn) {
-	defer close(c.Lines)
+	defer func() {
+		c.endedAt = time.Now()
+		close(c.Lines)
+	}()
 	for scanner := bufio.NewScanner(conn); scanner.Scan(); {
 		var line Line
 		if json.Unmarshal(scanner.Bytes(), &line) != nil {
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -97,7 +97,7 @@
 		select {
 		case line, ok := <-c.conn.Lines:
 			if !ok {
-				c.scenario.ledger.connectionEnded(c.open, time.Now())
+				c.recordConnectionEnd()
 				return
 			}
 			c.receive(line)
@@ -110,6 +110,12 @@
 	}
 }
 
+// recordConnectionEnd records that the connection has ended. It uses the time when the connection detected its end,
+// because the client may notice the end later: it does not receive while it pauses within a submission.
+func (c *client) recordConnectionEnd() {
+	c.scenario.ledger.connectionEnded(c.open, c.conn.EndedAt())
+}
+
 // performNextAction performs a random action and reports whether the client keeps its connection.
 func (c *client) performNextAction() bool {
 	switch draw := c.random.IntN(200); {
