Write to no descriptor once an event loop is closed

A process with a single orchestrator can write them to what it opens after the end of its loop; that was not seen.

Cause: Loop.Post wrote to the wake descriptor also after Loop.Close had closed it. A connection that had been given its number got the bytes. Goroutines post to a loop that has ended: the file worker, gRPC streams, and the cleanup of a test server, which here met the connection of another test server.

Change: Post holds the lock of the posted functions while it writes, and does nothing once the loop is closed. Close takes that lock to close the wake descriptor, so no call of Post can be between its check and its write.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -1,8 +1,9 @@
 // Package eventloop implements an event loop on epoll. It owns the epoll descriptor, all sockets, their
 // buffers, the timers and the descriptor budget. One goroutine runs the loop; other goroutines may access
 // the resources of the loop only through [Loop.Post]. The package implements no protocol and never blocks
-// on a socket. Its only lock protects the posted functions, and is held only while a function is added or all
-// are taken. Once epoll watches a connection, its descriptor is closed in one place only, [Loop.reap].
+// on a socket. Its only lock protects the posted functions and the wake descriptor. It is held only while a
+// function is added and the loop is woken, while all functions are taken, and while the wake descriptor is closed.
+// Once epoll watches a connection, its descriptor is closed in one place only, [Loop.reap].
 //
 // One iteration of the loop is called a turn. Output is sent at the end of the turn, in the order in
 // which connections were first written to. Output that must be sent before all other output of the turn
@@ -67,6 +68,7 @@
 	postsTakenAt int64 // time at which the loop last took the posted functions
 	mu           sync.Mutex
 	posted       []func() // guarded by mu
+	closed       bool     // guarded by mu; true once wakeFD is closed
 }
 
 // New returns a loop with a descriptor budget of maxDescriptors sockets. The budget limits how many connections are
@@ -139,11 +141,15 @@
 func (l *Loop) Stop() { l.stopping = true }
 
 // Post makes the loop call f on the goroutine of the loop. The loop calls f in the current turn if it has not
-// yet taken the posted functions of this turn, otherwise in the next turn. Any goroutine may call Post.
+// yet taken the posted functions of this turn, otherwise in the next turn. After [Loop.Close], Post does nothing. Any
+// goroutine may call Post.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
+	defer l.mu.Unlock() // held during the write, because wakeFD must not be closed before it
+	if l.closed {
+		return
+	}
 	l.posted = append(l.posted, f)
-	l.mu.Unlock()
 	one := [eventfdSize]byte{1}         // any value other than 0, in any byte order, wakes the loop
 	_, _ = unix.Write(l.wakeFD, one[:]) // fails only if the counter is full, and then a wake-up is already pending
 }
@@ -258,6 +264,15 @@
 		c.drop()
 	}
 	l.reap()
-	closeFD(l.wakeFD)
+	l.closeWakeFD()
 	closeFD(l.epollFD)
 }
+
+// closeWakeFD closes the wake descriptor. A call of Post then no longer writes to it, because its number may belong to
+// another descriptor of the process.
+func (l *Loop) closeWakeFD() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	closeFD(l.wakeFD)
+}
