--- a/internal/eventloop/post_test.go
+++ b/internal/eventloop/post_test.go
@@ -24,8 +24,8 @@
 	return ends[0], ends[1]
 }
 
-// reuseNumber gives the number of a closed descriptor to a copy of fd, which is closed at the end of the test. It reports
-// whether the number was free. The Go runtime may have opened a descriptor that got it.
+// reuseNumber copies fd, and reports whether the copy got the number of a closed descriptor. Another part of the process
+// may have got that number before. The copy is closed at the end of the test.
 func reuseNumber(t *testing.T, number, fd int) bool {
 	t.Helper()
 	copied, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, number)
