Let a reset cancel the open offers at a stand-in worker with a capacity model

It is a fault of the rig; callers of the program cannot meet it.

Cause: by the protocol, closing a connection gives up its open offers. The orchestrator resets a connection where a cancel is not confirmed, and offers elsewhere. The stand-in recorded nothing then and went on to inspect the offer, so the history showed two attempts in flight.

Change: a reset drops the offers without a decision, and the observer learns of the cancel.

--- a/internal/testbed/capacity_model.go
+++ b/internal/testbed/capacity_model.go
@@ -34,7 +34,9 @@
 // goroutines at the same time.
 type Observer interface {
 	// Offered is called when an offer arrives, Rejected before a rejection is sent, and
-	// Cancelled when the cancel of an offer or the release of a task arrives.
+	// Cancelled when the cancel of an offer or the release of a task arrives. Cancelled is also called when the
+	// orchestrator resets a connection, for each offer on it without a cancel or release, because this cancels the
+	// offers without an answer.
 	Offered(worker, requestID string)
 	Rejected(worker, requestID string)
 	Cancelled(worker, requestID string)
@@ -61,7 +63,7 @@
 	requestedCores  float64
 	requestedMemory float64
 	running         map[string]*runningTask // by request ID
-	queued          map[string]bool         // offers without a decision, by request ID; the value is false if the offer was cancelled
+	queued          map[string]net.Conn     // connections of the offers without a decision, by request ID; no cancelled offers
 	slowStart       slowStart
 	rejections      map[string]int // by cause
 	workers         []*Worker      // one Worker for each orchestrator
@@ -97,7 +99,7 @@
 		stop:       make(chan struct{}),
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		running:    map[string]*runningTask{},
-		queued:     map[string]bool{},
+		queued:     map[string]net.Conn{},
 		rejections: map[string]int{},
 	}
 	m.slowStart.spec = &m.WorkerSpec
@@ -133,7 +135,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.queued[line.Tag] = true
+	m.queued[line.Tag] = conn
 	m.mu.Unlock()
 	select {
 	case m.queue <- offer{worker, conn, line, task}:
@@ -169,7 +171,7 @@
 	for {
 		select {
 		case next := <-m.queue:
-			inspection, queued := m.inspectionTime(next.line.Tag)
+			inspection, queued := m.inspectionTime(next)
 			if !queued {
 				continue
 			}
@@ -184,17 +186,19 @@
 }
 
 // inspectionTime draws the inspection time of an offer. It returns false if the offer was cancelled.
-func (m *CapacityModel) inspectionTime(requestID string) (time.Duration, bool) {
+func (m *CapacityModel) inspectionTime(o offer) (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.queued[requestID] {
-		delete(m.queued, requestID)
+	if !m.isQueued(o) {
 		return 0, false
 	}
 	shortest, longest := m.InspectionTime[0], m.InspectionTime[1]
 	return shortest + time.Duration(m.random.Int64N(int64(longest-shortest)+1)), true
 }
 
+// isQueued reports whether an offer has no decision and was not cancelled. The caller holds the lock.
+func (m *CapacityModel) isQueued(o offer) bool { return m.queued[o.line.Tag] == o.conn }
+
 // sleep waits for a duration. It returns false if the channel cancelled is closed or the model stops before the
 // duration has passed.
 func (m *CapacityModel) sleep(d time.Duration, cancelled <-chan struct{}) bool {
@@ -211,9 +215,12 @@
 // the worker is overloaded.
 func (m *CapacityModel) decide(o offer) {
 	m.mu.Lock()
-	queued := m.queued[o.line.Tag]
+	if !m.isQueued(o) {
+		m.mu.Unlock()
+		return
+	}
 	delete(m.queued, o.line.Tag)
-	if !queued || m.slowStart.overloaded {
+	if m.slowStart.overloaded {
 		m.mu.Unlock()
 		return
 	}
@@ -291,9 +298,18 @@
 		task.cancelled = true
 		close(task.stop)
 	}
-	if m.queued[requestID] {
-		m.queued[requestID] = false
+	delete(m.queued, requestID)
+}
+
+// offerReset handles an offer whose connection the orchestrator has reset. This cancels the offer. A task that the
+// worker has accepted keeps running, because it does not depend on a connection.
+func (m *CapacityModel) offerReset(conn net.Conn, requestID string) {
+	m.mu.Lock()
+	if m.queued[requestID] == conn { // the same request may have been offered again on another connection
+		delete(m.queued, requestID)
 	}
+	m.mu.Unlock()
+	m.observer.Cancelled(m.Name, requestID)
 }
 
 // FreeCapacity returns the cores and the memory that are not requested by running tasks.
--- a/internal/testbed/proxy_test.go
+++ b/internal/testbed/proxy_test.go
@@ -84,6 +84,6 @@
 		t.Fatal(err)
 	}
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
-		t.Errorf("answer to a ping after the partition: %v", err)
+		t.Errorf("answer to a ping: %v", err)
 	}
 }
--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -152,6 +152,11 @@
 	// If the orchestrator closed its connection to a proxy, the proxy has recorded the close already. The worker may
 	// have read another offer since then, so the close is recorded again.
 	w.Attempts.connectionClosed(conn.RemoteAddr().String())
+	if w.model != nil && isReset(conn) {
+		for requestID := range open {
+			w.model.offerReset(conn, requestID)
+		}
+	}
 	for _, line := range open {
 		select {
 		case w.LostOffers <- line:
