--- a/test/backpressure/history_test.go
+++ b/test/backpressure/history_test.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -20,10 +21,15 @@
 	offered   operationKind = iota // an offer reached a worker
 	rejected                       // a worker rejected an offer
 	accepted                       // a worker accepted an offer
-	cancelled                      // a cancel or a release reached a worker
+	cancelled                      // a cancel or a release reached a worker, or the connection of an offer was reset
 	answered                       // the client received the final response
 )
 
+// String returns the name of the kind, which the log of a failed test shows.
+func (k operationKind) String() string {
+	return [...]string{"offered", "rejected", "accepted", "cancelled", "answered"}[k]
+}
+
 // Kinds of final response to a request.
 const (
 	responseStarted  = "started"
@@ -39,6 +45,14 @@
 	response  string // kind of final response; empty unless kind is answered
 }
 
+// String describes the operation for the log of a failed test.
+func (o operation) String() string {
+	if o.kind == answered {
+		return fmt.Sprintf("request %s %s with %s", o.requestID, o.kind, o.response)
+	}
+	return fmt.Sprintf("request %s %s at %s", o.requestID, o.kind, o.worker)
+}
+
 // requestState is the state of a request after the operations so far.
 type requestState struct {
 	offeredTo  string // worker with the attempt in flight; empty if there is none
@@ -145,6 +159,23 @@
 	return porcupine.CheckOperationsTimeout(model, h.operations, timeout)
 }
 
+// violations describes the operations of each request whose history breaks the rules or was not checked within timeout,
+// one operation a line.
+func (h *history) violations(timeout time.Duration) (lines []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, operations := range partitionByRequest(h.operations) {
+		if porcupine.CheckOperationsTimeout(model, operations, timeout) == porcupine.Ok {
+			continue
+		}
+		for _, recorded := range operations {
+			lines = append(lines, fmt.Sprintf("%s: between %s and %s", recorded.Input.(operation),
+				time.Duration(recorded.Call), time.Duration(recorded.Return)))
+		}
+	}
+	return lines
+}
+
 // TestHistoriesThatBreakRules guards against a check that accepts every history: each history breaks at least one
 // rule, and the check must reject it.
 func TestHistoriesThatBreakRules(t *testing.T) {
@@ -175,5 +206,8 @@
 		if r := h.check(time.Second); r != porcupine.Illegal {
 			t.Errorf("%s: got check result %s, want %s", name, r, porcupine.Illegal)
 		}
+		if lines := h.violations(time.Second); len(lines) != len(operations) {
+			t.Errorf("%s: got violations %q, want all %d operations", name, lines, len(operations))
+		}
 	}
 }
--- a/test/backpressure/retry_storm_test.go
+++ b/test/backpressure/retry_storm_test.go
@@ -42,6 +42,8 @@
 	restartBegin  = -500 * ms        // time when the first orchestrator is killed, relative to the start of the storm
 	restartPeriod = 1500 * ms        // time from the kill of one orchestrator to the kill of the next
 	downtime      = 700 * ms         // time from the kill of an orchestrator to its next start
+
+	historyTimeout = time.Minute // maximum time for a check of the history
 )
 
 // stormOptions holds the size and the settings of a storm. usualRate is the usual demand in tasks per second.
@@ -94,7 +96,10 @@
 	for _, o := range r.orchestrators {
 		o.End(syscall.SIGKILL)
 	}
-	f.history = r.recorder.history.check(time.Minute)
+	f.history = r.recorder.history.check(historyTimeout)
+	if f.history != porcupine.Ok {
+		r.logViolations()
+	}
 	r.logNotableLines()
 	return f
 }
@@ -142,6 +147,13 @@
 	return registered
 }
 
+// logViolations logs the history of each request that breaks the rules for requests.
+func (r *rig) logViolations() {
+	for _, line := range r.recorder.history.violations(historyTimeout) {
+		r.t.Log(line)
+	}
+}
+
 // logNotableLines logs the lines about backpressure, errors and deadlines from the orchestrators' logs.
 func (r *rig) logNotableLines() {
 	for _, o := range r.orchestrators {
