--- a/internal/testbed/capacity_model_test.go
+++ b/internal/testbed/capacity_model_test.go
@@ -47,22 +47,12 @@
 	model := NewCapacityModel(t, spec, o, 1)
 	w = model.NewWorker(t)
 	t.Cleanup(func() { close(o.unblock) }) // the model's goroutines must end
-	first = dialWorker(t, w)
+	first = dial(t, w.Addr())
 	o.offerTask(t, first, 1)
 	o.expectAccepted(t, 1)
 	return o, w, first
 }
 
-func dialWorker(t *testing.T, w *Worker) net.Conn {
-	t.Helper()
-	conn, err := net.Dial("tcp", w.Addr())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { CloseQuietly(conn) })
-	return conn
-}
-
 // offerTask offers a task that needs one core, and waits until the worker has read the offer.
 func (o *blockingObserver) offerTask(t *testing.T, conn net.Conn, request int) {
 	t.Helper()
@@ -90,7 +80,7 @@
 // A reset of a connection cancels an offer on it that has no decision: the worker neither accepts nor rejects it.
 func TestResetCancelsQueuedOffer(t *testing.T) {
 	o, w, first := newBlockedModel(t)
-	second := dialWorker(t, w)
+	second := dial(t, w.Addr())
 	o.offerTask(t, second, 2)
 	o.resetConnection(t, second, 2)
 	o.offerTask(t, first, 3)
@@ -105,7 +95,7 @@
 // request once.
 func TestResetKeepsOfferOnOtherConnection(t *testing.T) {
 	o, w, first := newBlockedModel(t)
-	second := dialWorker(t, w)
+	second := dial(t, w.Addr())
 	o.offerTask(t, second, 2)
 	expectPong(t, second) // the worker has handled the offer
 	o.offerTask(t, first, 2)
--- a/internal/testbed/proxy_test.go
+++ b/internal/testbed/proxy_test.go
@@ -34,10 +34,10 @@
 	trials.Wait()
 }
 
-// dialProxy connects to a proxy. The connection is closed at the end of the test.
-func dialProxy(t *testing.T, p *Proxy) net.Conn {
+// dial connects to an address. The connection is closed at the end of the test.
+func dial(t *testing.T, addr string) net.Conn {
 	t.Helper()
-	conn, err := net.Dial("tcp", p.Addr())
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,14 +49,14 @@
 // proxy is still accepting it.
 func TestPartitionEstablishesNoConnection(t *testing.T) {
 	runTrials(t, func(t *testing.T, _ *Worker, p *Proxy) {
-		dialProxy(t, p)
+		dial(t, p.Addr())
 		p.Partition(t)
 		if conn, err := net.DialTimeout("tcp", p.Addr(), partitionedDial); err == nil {
 			CloseQuietly(conn)
 			t.Error("a connection was established during a partition")
 		}
 		p.Heal(t)
-		expectPong(t, dialProxy(t, p))
+		expectPong(t, dial(t, p.Addr()))
 	})
 }
 
@@ -64,12 +64,12 @@
 // connection before the partition heals. This includes a connection that was established just before the partition.
 func TestResetDuringPartitionDiscardsOffer(t *testing.T) {
 	runTrials(t, func(t *testing.T, w *Worker, p *Proxy) {
-		early := dialProxy(t, p)
+		early := dial(t, p.Addr())
 		p.Partition(t)
 		Send(early, StartLine(RequestID(1), "guide-web", "ok-1", 5000))
 		ResetConnection(early)
 		p.Heal(t)
-		expectPong(t, dialProxy(t, p))
+		expectPong(t, dial(t, p.Addr()))
 		if count := w.Attempts.OfferCount(RequestID(1)); count > 0 {
 			t.Errorf("offers that reached the worker after a reset during the partition: got %d, want 0", count)
 		}
