--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -39,7 +39,7 @@
 		m.onArrived, m.onStarted, m.onEnded = book.arrived, book.started, book.ended
 		m.onRefused = func(m *minion, tag, _ string) { book.attemptOver(m, tag) }
 		m.onGivenUp = func(m *minion, tag string) { book.attemptOver(m, tag) }
-		m.trouble = p.trouble
+		m.trouble, m.channel = p.trouble, c
 		m.run()
 		minions = append(minions, m)
 		entries = append(entries, m.entry("up"))
--- a/review/_standin/minion.go
+++ b/review/_standin/minion.go
@@ -35,6 +35,9 @@
 	onRefused  func(m *minion, tag, key string)
 	onGivenUp  func(m *minion, tag string)
 	trouble    string
+	up         int64 // Unix millisecond of a late start
+	generation int
+	channel    *channel
 	stalled    time.Time        // it does nothing until then
 	wait       [2]time.Duration // least and most time to look at an offer
 	mu         sync.Mutex
@@ -76,8 +79,8 @@
 	if m.cores > 40 {
 		kind = "node-64"
 	}
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":%q,"size":1,"up_since_ms":0,"spare":[%g,%g]}`,
-		m.id, m.listener.Addr().String(), m.zone, kind, m.cell, phase, m.cores-m.usedC, m.mem-m.usedM)
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":%d,"phase":%q,"size":1,"up_since_ms":%d,"spare":[%g,%g]}`,
+		m.id, m.listener.Addr().String(), m.zone, kind, m.cell, phase, m.up, m.cores-m.usedC, m.mem-m.usedM)
 }
 
 func (m *minion) accept() {
--- a/review/_standin/minion_faults.go
+++ b/review/_standin/minion_faults.go
@@ -3,7 +3,10 @@
 // This file owns the troubles of a minion in the search tool.
 
 import (
+	"context"
+	"fmt"
 	"net"
+	"strings"
 	"time"
 )
 
@@ -71,6 +74,10 @@
 				break
 			}
 			m.mu.Unlock()
+		case "crashes", "takeovers":
+			if m.rnd(4) == 0 {
+				m.crash()
+			}
 		case "stalls":
 			m.mu.Lock()
 			m.stalled = time.Now().Add(time.Duration(200+m.random.Intn(300)) * time.Millisecond)
@@ -82,3 +89,62 @@
 		}
 	}
 }
+
+// crash ends the minion's process: its connections are reset and its tasks cut. It starts again at the same address after a
+// while, cold and with no task; with takeovers under a new name. The list tells late.
+func (m *minion) crash() {
+	m.mu.Lock()
+	m.record.log("%s: dies with %d tasks", m.id, len(m.standing))
+	_ = m.listener.Close()
+	for l := range m.conns {
+		_ = l.Conn.(*net.TCPConn).SetLinger(0)
+		_ = l.Close()
+	}
+	var cut, open []string
+	for tag := range m.standing {
+		cut = append(cut, tag)
+	}
+	for tag := range m.open {
+		open = append(open, tag)
+	}
+	old := m.id
+	m.conns, m.open, m.standing, m.unsaid = map[*link]bool{}, map[string]*offer{}, map[string]*offer{}, nil
+	m.usedC, m.usedM = 0, 0
+	m.mu.Unlock()
+	for _, tag := range cut {
+		m.onEnded(m, tag, "")
+	}
+	for _, tag := range open {
+		m.onGivenUp(m, tag)
+	}
+	if m.rnd(2) == 0 {
+		time.Sleep(time.Duration(m.rnd(1500)) * time.Millisecond)
+	} else {
+		time.Sleep(time.Duration(m.rnd(60)) * time.Millisecond)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", m.listener.Addr().String())
+	if err != nil {
+		m.record.log("%s: cannot listen again: %v", m.id, err)
+		return
+	}
+	m.mu.Lock()
+	m.listener = listener
+	m.up = time.Now().UnixMilli()
+	if m.trouble == "takeovers" {
+		m.generation++
+		m.id = fmt.Sprintf("%s-%d", old[:10], m.generation)
+	}
+	m.record.log("%s: starts again as %s", old, m.id)
+	m.mu.Unlock()
+	go m.accept()
+	gone := m.entry("removed")
+	gone = strings.Replace(gone, m.id, old, 1)
+	time.AfterFunc(time.Duration(500+m.rnd(3000))*time.Millisecond, func() {
+		if old != m.id {
+			m.channel.add(false, gone, m.entry("up"))
+		} else {
+			m.channel.add(false, m.entry("up"))
+		}
+		m.record.log("the channel tells of the start of %s", m.id)
+	})
+}
--- a/review/_standin/upgrade.go
+++ b/review/_standin/upgrade.go
@@ -275,10 +275,11 @@
 		}
 		book.mu.Unlock()
 		s.record.log("%d tasks are handed over, the old process took %v to end", len(stands), time.Since(servedBefore))
+		time.Sleep(200 * time.Millisecond) // for the owners' new connections
+		pool.mu.Lock()
+		o := pool.conns[0]
+		pool.mu.Unlock()
 		for _, h := range stands {
-			pool.mu.Lock()
-			o := pool.conns[0]
-			pool.mu.Unlock()
 			if o != nil {
 				_ = o.setUp(h.tag, h.key, h.class, time.Second, 0.5, 1, h.at)
 			}
