--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -81,7 +81,7 @@
 		return 2
 	}
 	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	result := make(chan verdict, 1)
 	go func() { result <- cases[name](s) }()
 	var v verdict
@@ -92,10 +92,12 @@
 	}
 	s.orch.stop()
 	s.mu.Lock()
+	var stops sync.WaitGroup
 	for _, o := range s.more {
-		o.stop()
+		stops.Go(o.stop)
 	}
 	s.mu.Unlock()
+	stops.Wait()
 	code := 0
 	switch {
 	case v.failed != nil:
--- a/review/_standin/orchestrator.go
+++ b/review/_standin/orchestrator.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	if err := cmd.Start(); err != nil {
+	if err := startChild(cmd); err != nil {
 		return err
 	}
 	o.mu.Lock()
--- a/review/_standin/upgrade.go
+++ b/review/_standin/upgrade.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := cmd.Start(); err != nil {
+	if err := startChild(cmd); err != nil {
 		return nil, err
 	}
 	v := &version{cmd: cmd, mgmt: mgmt, ended: make(chan struct{})}
