Name the connection on each log line about a message of a worker

No line named the connection, and a report that changed nothing left no line.

Change: connections to workers are numbered; the lines about offers, cancels and ends name the connection, those about ends its age.

--- a/internal/dispatch/trace.go
+++ b/internal/dispatch/trace.go
@@ -9,6 +9,8 @@
 	"context"
 	"log/slog"
 	"strings"
+
+	"ravenhitch/placement"
 )
 
 // Tracer writes the steps of the traced requests at debug level. The dispatcher, package workerpool and
@@ -40,6 +42,14 @@
 	return len(suffixes) == 0
 }
 
+// traceIgnored writes that a worker's report on the end of an attempt changes nothing, with the state of the request and
+// its latest attempt. r is nil if the request is not in the table; nothing is written then.
+func (d *Dispatcher) traceIgnored(r *request, reporter string, outcome placement.Outcome) {
+	if r != nil {
+		d.trace("report ignored", r, "from", reporter, "outcome", outcome)
+	}
+}
+
 // trace writes one step of a request, with its state and its latest attempt.
 func (d *Dispatcher) trace(step string, r *request, args ...any) {
 	fields := append([]any{"state", r.state, "worker", r.worker, "attempt", r.attemptNumber}, args...)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -65,6 +65,7 @@
 	}
 	r := d.requests[requestID]
 	if r == nil || r.worker != worker {
+		d.traceIgnored(r, worker, outcome)
 		return
 	}
 	d.trace("attempt or task ended", r, "outcome", outcome)
@@ -95,6 +96,7 @@
 	d.now = now
 	r := d.requests[requestID]
 	if r == nil || r.worker != worker || !r.mayHaveRun || !hasRun(outcome, cause) {
+		d.traceIgnored(r, worker, outcome)
 		return
 	}
 	switch r.state {
@@ -104,6 +106,8 @@
 		d.log.Info("task ended before its acceptance was received", "request_id", r.RequestID, "worker", r.worker)
 		d.queueEvent(placement.ClientCancelled{RequestID: r.RequestID})
 		d.fail(r)
+	default:
+		d.traceIgnored(r, worker, outcome)
 	}
 }
 
--- a/internal/workerpool/cancel.go
+++ b/internal/workerpool/cancel.go
@@ -42,8 +42,8 @@
 func (c *workerConn) cancelOffer(offer *openOffer, mayRetry bool) (confirmed bool) {
 	pool, worker, requestID := c.link.pool, c.link.workerID, offer.RequestID
 	c.removeOffer(offer)
-	pool.trace("cancelling attempt", requestID, "worker", worker, "sent", offer.isSent(c.conn),
-		"written", offer.endOffset > 0, "quiet_us", pool.loop.Now()-c.lastReadAt)
+	c.trace("cancelling attempt", requestID, "sent", offer.isSent(c.conn), "written", offer.endOffset > 0,
+		"quiet_us", pool.loop.Now()-c.lastReadAt)
 	if offer.endOffset == 0 { // the offer was not written
 		return true
 	}
--- a/internal/workerpool/cancel_confirmations.go
+++ b/internal/workerpool/cancel_confirmations.go
@@ -69,7 +69,7 @@
 		c.cancels.timer = pool.loop.After(confirmationTimeout, c.confirmationTimedOut)
 		return
 	}
-	pool.log.Warn("cancel unconfirmed", "worker", l.workerID, "quiet_us", now-c.lastReadAt)
+	pool.log.Warn("cancel unconfirmed", "worker", l.workerID, "connection", c.number, "quiet_us", now-c.lastReadAt)
 	c.close(errUnresponsive)
 	l.pruneConns()
 	l.ensureConnected()
@@ -86,7 +86,7 @@
 	}
 	for _, requestID := range cancels.beforePing {
 		now := pool.loop.Now()
-		pool.trace("cancel confirmed", requestID, "worker", c.link.workerID, "ping_us", now-cancels.pingSentAt)
+		c.trace("cancel confirmed", requestID, "ping_us", now-cancels.pingSentAt)
 		pool.dispatcher.CancelConfirmed(now, c.link.workerID, requestID)
 	}
 	c.link.pruneConns()
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -36,6 +36,7 @@
 // workerConn is one connection to a worker.
 type workerConn struct {
 	link         *link
+	number       uint64 // number among the connections to workers that were dialled, from 1
 	conn         *eventloop.Conn
 	openOffers   map[string]*openOffer // offers without an answer from the worker, by request ID
 	queued       [][]byte              // messages to write once the connection is established
@@ -55,6 +56,15 @@
 	lingerTimer *eventloop.Timer // ends the lingering
 }
 
+// trace logs one step of a request that happened on this connection.
+func (c *workerConn) trace(step, requestID string, args ...any) {
+	fields := append([]any{"worker", c.link.workerID, "connection", c.number}, args...)
+	c.link.pool.trace(step, requestID, fields...)
+}
+
+// age returns the time since the connection was dialled, in microseconds.
+func (c *workerConn) age() int64 { return c.link.pool.loop.Now() - c.dialledAt }
+
 // isStale reports whether the connection is up and an offer has been open on it for longer than staleAfter without
 // received data. New messages are then sent on a new connection. If the network to the worker is cut, the existing
 // connections stay open, but the dial of a new one quickly shows that the worker is unreachable.
@@ -183,7 +193,7 @@
 	l.redialBackoff, l.wasReset, l.refusedSince = 0, false, 0
 	l.opened(c.dialledAt)
 	l.pool.counts.Opened++
-	l.pool.log.Debug("worker connection opened", "worker", l.workerID, "connect_us", now-c.dialledAt)
+	l.pool.log.Debug("worker connection opened", "worker", l.workerID, "connection", c.number, "connect_us", now-c.dialledAt)
 	if l.unreachable {
 		l.unreachable = false
 		l.pool.dispatcher.WorkerReachable(now, l.workerID)
@@ -217,7 +227,8 @@
 		c.link.pool.counts.Broken++
 	}
 	if open := len(c.openOffers); open > 0 || !errors.Is(err, eventloop.ErrEOF) {
-		c.link.pool.log.Warn("worker connection closed", "worker", c.link.workerID, "open_offers", open, "err", err)
+		c.link.pool.log.Warn("worker connection closed", "worker", c.link.workerID, "connection", c.number,
+			"open_offers", open, "err", err)
 	}
 	c.detach(err)
 	switch l := c.link; {
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -71,7 +71,7 @@
 		return // the next connection to be established also receives late completions
 	}
 	l.openedAt = now // set even if the dial fails; otherwise, every sweep would dial again
-	c := &lateCompletionConn{workerConn{link: l, probes: map[string]int64{}, dialledAt: now, forLateCompletions: true}}
+	c := &lateCompletionConn{workerConn{link: l, number: l.pool.nextConnNumber(), probes: map[string]int64{}, dialledAt: now, forLateCompletions: true}}
 	conn, err := l.pool.loop.Dial(l.addr, l.pool.dialTimeoutUs, c)
 	if err != nil {
 		l.pool.log.Warn("worker dial failed", "worker", l.workerID, "purpose", "late completions", "err", err)
@@ -101,7 +101,8 @@
 	c.established, c.lastReadAt = true, c.link.pool.loop.Now()
 	c.link.opened(c.dialledAt)
 	c.link.pool.counts.LateCompletions++
-	c.link.pool.log.Debug("connection for late completions opened", "worker", c.link.workerID)
+	c.link.pool.log.Debug("connection for late completions opened", "worker", c.link.workerID,
+		"connection", c.number)
 	c.link.pool.loop.After(lateCompletionConnLifetime, c.linger)
 }
 
--- a/internal/workerpool/linger.go
+++ b/internal/workerpool/linger.go
@@ -64,8 +64,8 @@
 // a warning, because it may reset offers that the worker has read.
 func (c *workerConn) logClose(reason error) {
 	pool, now := c.link.pool, c.link.pool.loop.Now()
-	fields := []any{"worker", c.link.workerID, "reason", reason, "open_offers", len(c.openOffers),
-		"tasks", pool.dispatcher.TasksOn(c.link.workerID).Count, "age_us", now - c.dialledAt, "quiet_us", now - c.lastReadAt}
+	fields := []any{"worker", c.link.workerID, "connection", c.number, "reason", reason, "open_offers", len(c.openOffers),
+		"tasks", pool.dispatcher.TasksOn(c.link.workerID).Count, "age_us", c.age(), "quiet_us", now - c.lastReadAt}
 	if len(c.openOffers) > 0 || isUnreachable(reason) {
 		pool.counts.Aborted++
 		pool.log.Warn("worker connection aborted", fields...)
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -80,6 +80,7 @@
 	loop := l.pool.loop
 	c := &workerConn{
 		link:       l,
+		number:     l.pool.nextConnNumber(),
 		openOffers: map[string]*openOffer{},
 		probes:     map[string]int64{},
 		dialledAt:  loop.Now(),
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -52,7 +52,7 @@
 		err = errNoDescription
 	}
 	if err != nil {
-		c.link.pool.log.Warn("malformed worker message", "worker", c.link.workerID, "err", err)
+		c.link.pool.log.Warn("malformed worker message", "worker", c.link.workerID, "connection", c.number, "err", err)
 		return err
 	}
 	c.handleMessage(&m)
@@ -81,7 +81,7 @@
 func (c *workerConn) handleStarted(m *jsonlines.Message) {
 	offer, pool := c.writtenOffer(m.Tag), c.link.pool
 	if offer == nil {
-		pool.trace("acceptance ignored, no open offer", m.Tag, "worker", c.link.workerID)
+		c.trace("acceptance ignored, no open offer", m.Tag, "connection_age_us", c.age())
 		return
 	}
 	c.removeOffer(offer)
@@ -108,11 +108,12 @@
 func (c *workerConn) finishOffer(offer *openOffer, outcome placement.Outcome, m *jsonlines.Message) {
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
 	if outcome == placement.Cancelled && c.link.cancelled.take(m.Tag) {
-		c.link.pool.trace("end of a cancelled attempt ignored", m.Tag, "worker", worker)
+		c.trace("end of a cancelled attempt ignored", m.Tag)
 		return
 	}
 	c.removeOffer(offer)
-	c.link.pool.trace("worker ended offer", m.Tag, "worker", worker, "code", m.RC, "note", m.Opt("note"), "description", m.HasBlob)
+	c.trace("worker ended offer", m.Tag, "code", m.RC, "note", m.Opt("note"), "description", m.HasBlob,
+		"offer_age_us", c.link.pool.loop.Clock()-offer.writtenAt)
 	if outcome == placement.Completed && m.HasBlob { // the task completed before the acceptance was sent: report both
 		dispatcher.AttemptAccepted(now, worker, m.Tag, m.Blob)
 	}
@@ -129,7 +130,7 @@
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
 	cause := causesByNote[m.Opt("note")]
 	mayHaveRun := outcome != placement.Rejected && outcome != placement.NeverSent
-	c.link.pool.trace("worker reported end", m.Tag, "worker", worker, "code", m.RC, "note", m.Opt("note"),
+	c.trace("worker reported end", m.Tag, "connection_age_us", c.age(), "code", m.RC, "note", m.Opt("note"),
 		"known", dispatcher.Contains(m.Tag), "lingering", c.lingering)
 	switch {
 	case mayHaveRun && (dispatcher.IsRunning(m.Tag) || dispatcher.IsTerminating(m.Tag)):
--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -116,13 +116,13 @@
 	pool, worker, requestID := c.link.pool, c.link.workerID, offer.RequestID
 	lastSeenAt := pool.dispatcher.ClientLastSeenAt(requestID, pool.loop.PostsTakenAt())
 	if age := pool.loop.Clock() - lastSeenAt; age > maxClientLastSeenAge {
-		pool.trace("offer delayed until client is read", requestID, "worker", worker, "age_us", age)
+		c.trace("offer delayed until client is read", requestID, "age_us", age)
 		pool.delayedOffers = append(pool.delayedOffers, delayedOffer{c, offer})
 		pool.loop.RunAgain()
 		return
 	}
 	if err := pool.dispatcher.CheckOffer(pool.loop.Now(), worker, requestID); err != nil {
-		pool.trace("offer no longer allowed", requestID, "worker", worker, "cause", err)
+		c.trace("offer no longer allowed", requestID, "cause", err)
 		c.removeOffer(offer)
 		pool.reportLater(func() {
 			pool.dispatcher.TaskEnded(pool.loop.Now(), worker, requestID, placement.NeverSent, placement.CauseUnknown)
@@ -133,6 +133,7 @@
 	c.conn.Write(jsonlines.Append(nil, &m))
 	offer.endOffset = c.conn.BytesWritten()
 	offer.writtenAt = pool.loop.Clock()
+	c.trace("offer written", requestID, "try", offer.tries)
 }
 
 // offerMessage returns the wire message for an offer that is sent now. The remaining time that the message states
@@ -185,14 +186,14 @@
 		requestID := offer.RequestID
 		switch {
 		case offer.isSent(c.conn):
-			pool.trace("connection lost with offer open", requestID, "worker", l.workerID, "err", err,
+			c.trace("connection lost with offer open", requestID, "err", err,
 				"offer_age_us", pool.loop.Clock()-offer.writtenAt, "quiet_us", pool.loop.Now()-c.lastReadAt)
 			l.reportReset(offer)
 		case l.listed && offer.tries < maxOfferTries && isDisconnect(err):
-			pool.trace("offer moved to another connection", requestID, "worker", l.workerID, "err", err)
+			c.trace("offer moved to another connection", requestID, "err", err)
 			resend = append(resend, offer)
 		default:
-			pool.trace("offer never sent", requestID, "worker", l.workerID, "err", err)
+			c.trace("offer never sent", requestID, "err", err)
 			pool.reportConnectFailed(l.workerID, requestID)
 		}
 	}
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -44,6 +44,7 @@
 	links          map[string]*link         // by worker ID
 	sortedLinks    []*link                  // the links sorted by worker ID; nil if they must be sorted again
 	isAssigned     func(worker string) bool // reports whether a worker is assigned to this orchestrator; nil if all are
+	connsDialled   uint64                   // number of connections to workers that were dialled
 	offersMade     uint64                   // number of offers that the dispatcher has made
 	offersSent     int64                    // number of offers that were sent completely and are no longer open
 	pendingReports []func()                 // called by DeliverPending; each reports an outcome to the dispatcher
@@ -240,6 +241,12 @@
 	}
 }
 
+// nextConnNumber returns the number of a connection to a worker that is dialled now.
+func (p *Pool) nextConnNumber() uint64 {
+	p.connsDialled++
+	return p.connsDialled
+}
+
 // trace logs one step of a request at debug level.
 func (p *Pool) trace(step, requestID string, args ...any) {
 	p.tracer.Step(step, requestID, p.loop.Now(), args...)
