Offer a request to a worker on which it may have run only once

Cause: messages of workers name a request and no attempt, and a request could be offered to the same worker again. A copy of the first rejection then ended the second offer, and the repeat of the first attempt's end on a new connection ended the second task.

Change: dispatch/offer_history.go owns which offers of a request ID workers may have received, also after the request's end. A request never goes again to a worker on which it may have run; after a rejection it goes there on a later connection only. The scheduler knows the first rule (repeats.go) and answers at once a request for which no worker is left. The record of cancelled attempts, which held one report of one code, is gone. An offer that was never written ends as not connected, no longer as one that may have run. A worker's 102 counts as a rejection, since the worker has received the offer.

TestRejectionCopyKeepsNextAttempt and TestRepeatedEndKeepsRunningTask failed on: a copy led to a further START, and the client was told that its running task was over.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -17,8 +17,13 @@
 // response to the client must not wait any longer.
 func (d *Dispatcher) cancelAttempt(r *request, outcome placement.Outcome) {
 	mayRetry := d.now < r.deadline && d.checkAttempt(r) == nil
-	confirmed := d.workers.CancelAttempt(r.worker, r.RequestID, mayRetry)
-	if confirmed || d.now >= r.deadline {
+	state := d.workers.CancelAttempt(r.worker, r.RequestID, mayRetry)
+	switch {
+	case state == OfferWithdrawn:
+		r.withdrawOffer()
+		d.attemptEnded(r, placement.ConnectFailed, placement.CauseUnknown)
+		return
+	case state == CancelConfirmed || d.now >= r.deadline:
 		d.attemptEnded(r, outcome, placement.CauseUnknown)
 		return
 	}
@@ -79,7 +84,9 @@
 	switch r.state {
 	case stateOffered:
 		d.trace("attempt abandoned", r)
-		d.workers.CancelAttempt(r.worker, r.RequestID, false)
+		if d.workers.CancelAttempt(r.worker, r.RequestID, false) == OfferWithdrawn {
+			r.withdrawOffer()
+		}
 		d.reportAttemptEnded(r, placement.Cancelled, placement.CauseUnknown, true)
 	case stateCancelling:
 		d.reportAttemptEnded(r, r.cancelOutcome, placement.CauseUnknown, true)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 	aliases       map[string]*request // resumed requests, by the request IDs of repeated submissions
 	unresponsive  map[string]*request // requests of unresponsive tasks (unresponsive.go), by request ID
 	tasksByWorker runningTasks
+	history       offerHistory
 	unclaimed     unclaimedCompletions
 	responses     responseCache
 
@@ -165,6 +166,7 @@
 func (d *Dispatcher) remove(r *request) {
 	d.disarm(r)
 	d.transition(r, eventRemoved)
+	d.history.add(r.RequestID, r.priorOffers)
 	if d.requests[r.RequestID] == r {
 		delete(d.requests, r.RequestID)
 	}
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -142,6 +142,8 @@
 	}
 	clear(h.finalResponses)
 	clear(h.mayHaveRun)
+	clear(h.mayHaveRunAt)
+	clear(h.rejectedOn)
 	clear(h.deadline)
 	h.offers, h.received = nil, nil
 }
--- a/internal/dispatch/offer.go
+++ b/internal/dispatch/offer.go
@@ -33,6 +33,8 @@
 	// ErrRepeatUnknown is returned if an earlier attempt may have started the task, and that attempt was so long
 	// ago that workers no longer recognise a repeat.
 	ErrRepeatUnknown = errors.New("the task may have started, and workers no longer recognise a repeat")
+	// ErrMayHaveRunOnWorker is returned if an earlier attempt at the worker may have started the task.
+	ErrMayHaveRunOnWorker = errors.New("an earlier attempt at the worker may have started the task")
 	// ErrOutsideGroup is returned if the task may have started and the worker does not share idempotency keys
 	// with the worker that may have started it.
 	ErrOutsideGroup = errors.New("the task may have started at a worker of another group")
@@ -69,6 +71,9 @@
 	if r.state != statePending {
 		return ErrNotPending
 	}
+	if r.mayHaveRunOn(worker) {
+		return ErrMayHaveRunOnWorker
+	}
 	if err := d.checkAttempt(r); err != nil {
 		return err
 	}
@@ -170,14 +175,17 @@
 	}
 	d.arm(r, r.abandonAt)
 	d.trace("offer", r, "abandon_at_us", r.abandonAt, "deadline_us", r.deadline)
-	d.workers.Offer(action.Worker, Offer{
-		RequestID:      r.RequestID,
-		Class:          r.Class,
-		Key:            r.Key,
-		IdempotencyKey: r.IdempotencyKey,
-		TimeoutUs:      r.abandonAt - d.now,
-		Description:    r.Description,
-	})
+	offer := Offer{
+		RequestID:       r.RequestID,
+		Class:           r.Class,
+		Key:             r.Key,
+		IdempotencyKey:  r.IdempotencyKey,
+		TimeoutUs:       r.abandonAt - d.now,
+		Description:     r.Description,
+		AfterConnection: r.rejectedOn(r.worker),
+	}
+	r.priorOffers = append(r.priorOffers, priorOffer{worker: r.worker})
+	d.workers.Offer(r.worker, offer)
 }
 
 // CheckOffer checks an offer again immediately before the worker pool sends it, because the offer may have waited for
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -26,8 +26,9 @@
 	heapIndex  int   // index in the deadline heap, or -1
 
 	// The open attempt, or the latest one if none is open.
-	attemptCount  int // attempts of the request so far, including blocked offers
-	attemptNumber int // number of the open or latest attempt, starting at 0
+	attemptCount  int          // attempts of the request so far, including blocked offers
+	attemptNumber int          // number of the open or latest attempt, starting at 0
+	priorOffers   []priorOffer // offers with this request ID that workers may have received
 	worker        string
 	sentAt        int64             // time of the offer, in microseconds
 	abandonAt     int64             // time at which the attempt is cancelled if it is still open, in microseconds
@@ -64,16 +65,17 @@
 		receivedAt = min(d.now, s.ReceivedAtUs)
 	}
 	r := &request{
-		Submission: *s,
-		client:     client,
-		responseID: s.RequestID,
-		state:      stateNew,
-		keyHash:    keyHash(s.Key),
-		classIndex: len(d.settings.Classes) - 1,
-		units:      d.settings.Units(s.Cores, s.Memory),
-		effect:     placement.Unsafe,
-		deadline:   d.pacer.scheduleResponse(d.now, receivedAt+s.TimeoutUs),
-		heapIndex:  -1,
+		Submission:  *s,
+		client:      client,
+		responseID:  s.RequestID,
+		state:       stateNew,
+		keyHash:     keyHash(s.Key),
+		classIndex:  len(d.settings.Classes) - 1,
+		units:       d.settings.Units(s.Cores, s.Memory),
+		effect:      placement.Unsafe,
+		deadline:    d.pacer.scheduleResponse(d.now, receivedAt+s.TimeoutUs),
+		heapIndex:   -1,
+		priorOffers: d.history.offersOf(s.RequestID),
 	}
 	if effect, ok := d.effects[s.Class]; ok {
 		r.effect = effect
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -9,6 +9,7 @@
 //   - a request gets one final response, by its deadline, unless its client cancels it before then or submitted its
 //     task as already running;
 //   - a request has at most one open attempt at a time, and none once the request is over;
+//   - no request is offered to a worker on which a request with the same ID may have run;
 //   - no offer goes to a worker that has been draining for longer than the drain limit;
 //   - a task that must not run twice is started at most once, and its request is failed rather than rejected
 //     if the task may have been started;
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -122,6 +122,7 @@
 	r.QueuedSinceUs = d.advisor.Requested(d.now, r.backpressureRequest())
 	task := r.task()
 	task.QueuedSinceUs = r.QueuedSinceUs
+	task.MayHaveRunOn = r.workersMayHaveRun()
 	d.queueEvent(placement.Request{Task: task})
 	d.arm(r, r.deadline)
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -15,19 +15,32 @@
 	RequestID, Class, Key, IdempotencyKey string
 	TimeoutUs                             int64 // time for the worker to answer, in microseconds
 	Description                           string
+	// AfterConnection is the number of the latest connection on which the worker rejected an earlier offer of the
+	// request, or 0. The offer must be sent on a connection with a higher number.
+	AfterConnection uint64
 }
 
+// CancelState states what is known of an attempt once its cancel was requested.
+type CancelState int
+
+// The states of a cancel.
+const (
+	CancelUnconfirmed CancelState = iota // the attempt may still be open
+	CancelConfirmed                      // the attempt is over
+	OfferWithdrawn                       // the attempt is over, and its offer never left this process
+)
+
 // WorkerPool sends offers, cancels, releases and probes to workers. It reports the results by calls of methods of
 // Dispatcher, such as AttemptAccepted, TaskEnded, CancelConfirmed and ProbeAnswered, but must not do so during a call
 // of one of its own methods.
 type WorkerPool interface {
 	Offer(worker string, offer Offer)
-	// CancelAttempt cancels an offer that was not answered. The cancel is sent before any later offer. mayRetry states
-	// that another attempt may follow. CancelAttempt returns true if the attempt is over. In a deployment that does not
-	// allow pings, nothing confirms a cancel. In such a deployment, CancelAttempt also returns true once the cancel is
-	// sent, if mayRetry is false. If CancelAttempt returns false, CancelConfirmed or TaskEnded is called once the
-	// attempt is over.
-	CancelAttempt(worker, requestID string, mayRetry bool) (confirmed bool)
+	// CancelAttempt cancels an offer that was not answered, and returns what is known of the attempt then. The cancel is
+	// sent before any later offer. mayRetry states that another attempt may follow. In a deployment that does not allow
+	// pings, nothing confirms a cancel. In such a deployment, the result is CancelConfirmed once the cancel is sent, if
+	// mayRetry is false. If the result is CancelUnconfirmed, Dispatcher.CancelConfirmed or Dispatcher.TaskEnded is called
+	// once the attempt is over.
+	CancelAttempt(worker, requestID string, mayRetry bool) CancelState
 	// Release requests a worker to end a running task.
 	Release(worker, requestID string)
 	// Probe asks a worker to respond. ProbeAnswered receives the result.
@@ -56,7 +69,7 @@
 }
 
 // TaskEnded handles the end of a running, released or unresponsive task, or of an attempt whose acceptance was not
-// received. Either the worker reported the end, or the offer was not sent or was lost with its connection.
+// received. Either the worker reported the end, or the offer was lost with its connection.
 func (d *Dispatcher) TaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
 	d.now = now
 	if r := d.unresponsive[requestID]; r != nil && r.worker == worker {
@@ -89,6 +102,24 @@
 	}
 }
 
+// OfferUndelivered handles the report that an offer did not reach its worker. The outcome states why: NeverSent or
+// ConnectFailed.
+func (d *Dispatcher) OfferUndelivered(now int64, worker, requestID string, outcome placement.Outcome) {
+	if r := d.requests[requestID]; r != nil && r.worker == worker && r.state == stateOffered {
+		r.withdrawOffer()
+	}
+	d.TaskEnded(now, worker, requestID, outcome, placement.CauseUnknown)
+}
+
+// OfferRejected handles a worker's rejection of an offer. connection is the number of the connection on which the offer was
+// sent and rejected.
+func (d *Dispatcher) OfferRejected(now int64, worker, requestID string, cause placement.Cause, connection uint64) {
+	if r := d.requests[requestID]; r != nil && r.worker == worker && r.state == stateOffered {
+		r.setRejectedOn(connection)
+	}
+	d.TaskEnded(now, worker, requestID, placement.Rejected, cause)
+}
+
 // AbandonedTaskEnded handles a worker's report on the end of a task whose attempt was abandoned earlier: the
 // attempt was cancelled or lost with its connection. If the task ran and has not been offered again since, the
 // request fails, because another attempt would run the task again.
--- a/internal/testbed/worker_script.go
+++ b/internal/testbed/worker_script.go
@@ -86,6 +86,15 @@
 	w.startTask(conn, requestID, requestID)
 }
 
+// Reject rejects an offer to which the worker has not responded, with the cause busy.
+func (w *Worker) Reject(requestID string) {
+	w.mu.Lock()
+	conn := w.offerConnections[requestID]
+	w.mu.Unlock()
+	w.Attempts.ended(w.Name, requestID)
+	Send(conn, rejectedLine(requestID, "busy"))
+}
+
 // startTask runs a task and accepts its offer.
 func (w *Worker) startTask(conn net.Conn, requestID, description string) {
 	w.runTask(requestID)
--- a/internal/workerpool/cancel.go
+++ b/internal/workerpool/cancel.go
@@ -6,23 +6,28 @@
 
 import (
 	"slices"
+
+	"ravenhitch/internal/dispatch"
 )
 
 // CancelAttempt implements dispatch.WorkerPool.
-func (p *Pool) CancelAttempt(worker, requestID string, mayRetry bool) (confirmed bool) {
+func (p *Pool) CancelAttempt(worker, requestID string, mayRetry bool) dispatch.CancelState {
 	l := p.links[worker]
 	if l == nil {
-		return true
+		return dispatch.CancelConfirmed
+	}
+	state := dispatch.CancelConfirmed
+	if l.pendingResets[requestID] {
+		state = dispatch.CancelUnconfirmed
 	}
-	confirmed = !l.pendingResets[requestID]
 	for _, c := range slices.Clone(l.conns) {
-		if offer := c.openOffers[requestID]; offer != nil && !c.cancelOffer(offer, mayRetry) {
-			confirmed = false
+		if offer := c.openOffers[requestID]; offer != nil {
+			state = c.cancelOffer(offer, mayRetry)
 		}
 	}
 	l.pruneConns()
 	l.ensureConnected() // the worker needs a connection to report the ends of its running tasks
-	return confirmed
+	return state
 }
 
 // cancelOffer cancels an open offer. An offer that was not written yet is only removed. Otherwise, a cancel is written
@@ -32,20 +37,19 @@
 //     the last confirmationTimeout.
 //   - The deployment allows pings, or mayRetry is false.
 //
-// cancelOffer returns true if the attempt counts as over at once: the offer was not written, or a cancel was written
-// that nothing confirms because the deployment does not allow pings. Otherwise it returns false, and
-// Dispatcher.CancelConfirmed is called when the ping behind the cancel is answered. If the connection ends without
-// that answer, CancelConfirmed is called once the close is assumed to have reached the worker.
+// cancelOffer returns CancelConfirmed if a cancel was written that nothing confirms because the deployment does not allow
+// pings. If it returns CancelUnconfirmed, Dispatcher.CancelConfirmed is called when the ping behind the cancel is answered.
+// If the connection ends without that answer, it is called once the close is assumed to have reached the worker.
 //
 // mayRetry is true if another attempt may follow, which must wait until this one is over. In this case, the connection
 // is aborted if the deployment does not allow pings, because nothing would confirm a cancel.
-func (c *workerConn) cancelOffer(offer *openOffer, mayRetry bool) (confirmed bool) {
+func (c *workerConn) cancelOffer(offer *openOffer, mayRetry bool) dispatch.CancelState {
 	pool, worker, requestID := c.link.pool, c.link.workerID, offer.RequestID
 	c.removeOffer(offer)
 	c.trace("cancelling attempt", requestID, "sent", offer.isSent(c.conn), "written", offer.endOffset > 0,
 		"quiet_us", pool.loop.Now()-c.lastReadAt)
 	if offer.endOffset == 0 { // the offer was not written
-		return true
+		return dispatch.OfferWithdrawn
 	}
 	// Within confirmationTimeout, silence proves no more than that the worker has not answered yet. An abort would lose
 	// the completions that are in transit on a connection that is alive.
@@ -54,15 +58,15 @@
 	// A cancel does not suffice for an offer that was not sent completely: the rest of the offer would still be sent,
 	// possibly after the attempt is over.
 	if offer.isSent(c.conn) && responsive && confirmable {
-		if mayRetry {
-			c.link.cancelled.add(requestID, pool.loop.Now())
-		}
 		c.sendCancel(requestID)
-		return !pool.pingsAllowed
+		if pool.pingsAllowed {
+			return dispatch.CancelUnconfirmed
+		}
+		return dispatch.CancelConfirmed
 	}
 	c.close(errUnresponsive)
 	c.link.afterCloseTransit(func() { pool.dispatcher.CancelConfirmed(pool.loop.Now(), worker, requestID) })
-	return false
+	return dispatch.CancelUnconfirmed
 }
 
 // sendCancel writes and flushes a cancel, so that it is sent before anything written later on any connection. The
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -44,7 +44,6 @@
 	refusedSince  int64 // time of the first refusal since a connection was established or data received, 0 for none
 	minConnectUs  int64 // shortest time in which a connection was established, 0 if none has been
 
-	cancelled     cancelledAttempts   // attempts whose cancels were written; the worker may still report their ends
 	pendingResets map[string]bool     // requests whose offers were reset and whose ends are not reported yet
 	releases      unconfirmedReleases // unconfirmed releases of running tasks
 
@@ -55,12 +54,27 @@
 	crossedAt int64
 }
 
-// connForSending returns the connection for new messages, dialling one if needed. The connection may not be
-// established yet. connForSending returns nil if no connection could be dialled.
-func (l *link) connForSending() *workerConn {
+// anyConnection is the argument of connForSending for a message that may be sent on each connection.
+const anyConnection = 0
+
+// hasConnAfter reports whether the connection for new messages has a number above the given one.
+func (l *link) hasConnAfter(number uint64) bool {
+	count := len(l.conns)
+	return number == anyConnection || count > 0 && l.conns[count-1].number > number
+}
+
+// mayReplaceOldest reports whether a connection may be dialled without closing one on which an offer is open.
+func (l *link) mayReplaceOldest() bool {
+	return len(l.conns) < maxConns || len(l.conns[0].openOffers) == 0
+}
+
+// connForSending returns the connection for new messages, dialling one if needed or if the number of the present one is
+// not above the given one. The connection may not be established yet. connForSending returns nil if no connection could be
+// dialled.
+func (l *link) connForSending(after uint64) *workerConn {
 	if count := len(l.conns); count > 0 {
 		c := l.conns[count-1]
-		if !c.conn.IsClosed() && !c.isStale() {
+		if !c.conn.IsClosed() && !c.isStale() && c.number > after {
 			c.lastUsedAt = l.pool.loop.Now()
 			return c
 		}
@@ -148,7 +162,6 @@
 // the connection if an offer is cancelled and no data has been received since the offer was made.
 func (l *link) sweep(tasks dispatch.TaskSummary, now int64) {
 	l.releases.expire(now)
-	l.cancelled.expire(now)
 	l.applyRestart()
 	if tasks.Count == 0 {
 		l.ensureConnected() // the descriptor budget may have prevented an earlier dial
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -39,7 +39,8 @@
 	jsonlines.CodeCancelled: placement.Cancelled,
 	jsonlines.CodeRejected:  placement.Rejected,
 	jsonlines.CodeFailed:    placement.Failed,
-	jsonlines.CodeNeverSent: placement.NeverSent,
+	// The worker has received the offer, so that the outcome is not NeverSent.
+	jsonlines.CodeNeverSent: placement.Rejected,
 }
 
 // pingSucceeded is the code with which a healthy worker answers a ping.
@@ -103,33 +104,33 @@
 	c.finishTask(outcome, m)
 }
 
-// finishOffer handles the end of an attempt whose offer is open on this connection. It ignores the end of an earlier
-// attempt of the request that was cancelled.
+// finishOffer handles the end of an attempt whose offer is open on this connection.
 func (c *workerConn) finishOffer(offer *openOffer, outcome placement.Outcome, m *jsonlines.Message) {
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
-	if outcome == placement.Cancelled && c.link.cancelled.take(m.Tag) {
-		c.trace("end of a cancelled attempt ignored", m.Tag)
-		return
-	}
 	c.removeOffer(offer)
 	c.trace("worker ended offer", m.Tag, "code", m.RC, "note", m.Opt("note"), "description", m.HasBlob,
 		"offer_age_us", c.link.pool.loop.Clock()-offer.writtenAt)
 	if outcome == placement.Completed && m.HasBlob { // the task completed before the acceptance was sent: report both
 		dispatcher.AttemptAccepted(now, worker, m.Tag, m.Blob)
 	}
-	dispatcher.TaskEnded(now, worker, m.Tag, outcome, causesByNote[m.Opt("note")])
+	cause := causesByNote[m.Opt("note")]
+	if outcome == placement.Rejected {
+		dispatcher.OfferRejected(now, worker, m.Tag, cause, c.number)
+	} else {
+		dispatcher.TaskEnded(now, worker, m.Tag, outcome, cause)
+	}
 	c.link.pruneConns()
 }
 
 // finishTask handles a FINISH for a request for which no written offer is open on this connection. The message may be
 // the completion of a running task, of a task whose attempt this orchestrator has cancelled or lost with its
 // connection, or of a task that no client has submitted to this orchestrator yet. It may also be a duplicate answer, or
-// an answer to an offer on another connection; such a message must not end an attempt. The outcomes "rejected" and
-// "never sent" do not complete a running task: a message with one of them duplicates the answer to an earlier attempt.
+// an answer to an offer on another connection; such a message must not end an attempt. The outcome "rejected" does
+// not complete a running task: no worker rejects an offer that it has accepted.
 func (c *workerConn) finishTask(outcome placement.Outcome, m *jsonlines.Message) {
 	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
 	cause := causesByNote[m.Opt("note")]
-	mayHaveRun := outcome != placement.Rejected && outcome != placement.NeverSent
+	mayHaveRun := outcome != placement.Rejected
 	c.trace("worker reported end", m.Tag, "connection_age_us", c.age(), "code", m.RC, "note", m.Opt("note"),
 		"known", dispatcher.Contains(m.Tag), "lingering", c.lingering)
 	switch {
--- a/internal/workerpool/offer.go
+++ b/internal/workerpool/offer.go
@@ -54,14 +54,21 @@
 }
 
 // putOffer adds an offer to a connection to the worker, and sends it as soon as the connection is up. If there is no
-// connection and none can be dialled, the attempt ends with ConnectFailed.
+// connection and none can be dialled, the attempt ends with ConnectFailed. If the offer needs a new connection, and the
+// oldest one would have to be closed for it but has an open offer, the attempt ends with NeverSent.
 func (p *Pool) putOffer(worker string, offer *openOffer) {
-	var c *workerConn
-	if l := p.links[worker]; l != nil {
-		c = l.connForSending()
+	l := p.links[worker]
+	if l == nil {
+		p.reportUndelivered(worker, offer.RequestID, placement.ConnectFailed)
+		return
+	}
+	if !l.hasConnAfter(offer.AfterConnection) && !l.mayReplaceOldest() {
+		p.reportUndelivered(worker, offer.RequestID, placement.NeverSent)
+		return
 	}
+	c := l.connForSending(offer.AfterConnection)
 	if c == nil {
-		p.reportConnectFailed(worker, offer.RequestID)
+		p.reportUndelivered(worker, offer.RequestID, placement.ConnectFailed)
 		return
 	}
 	offer.tries++
@@ -71,12 +78,11 @@
 	}
 }
 
-// reportConnectFailed reports that an attempt ended with ConnectFailed: no connection to the worker could be dialled or
-// established, or the connection ended before the offer was sent completely and the offer is not resent.
-func (p *Pool) reportConnectFailed(worker, requestID string) {
-	p.reportLater(func() {
-		p.dispatcher.TaskEnded(p.loop.Now(), worker, requestID, placement.ConnectFailed, placement.CauseUnknown)
-	})
+// reportUndelivered reports that an offer did not reach its worker. The outcome is ConnectFailed if no connection to the
+// worker could be dialled or established, or if the connection ended before the offer was sent completely and the offer is
+// not resent. Otherwise it is NeverSent.
+func (p *Pool) reportUndelivered(worker, requestID string, outcome placement.Outcome) {
+	p.reportLater(func() { p.dispatcher.OfferUndelivered(p.loop.Now(), worker, requestID, outcome) })
 }
 
 // sendDelayedOffers sends the offers that waited until the connections of their clients were read, and flushes them
@@ -124,9 +130,7 @@
 	if err := pool.dispatcher.CheckOffer(pool.loop.Now(), worker, requestID); err != nil {
 		c.trace("offer no longer allowed", requestID, "cause", err)
 		c.removeOffer(offer)
-		pool.reportLater(func() {
-			pool.dispatcher.TaskEnded(pool.loop.Now(), worker, requestID, placement.NeverSent, placement.CauseUnknown)
-		})
+		pool.reportUndelivered(worker, requestID, placement.NeverSent)
 		return
 	}
 	m := offerMessage(offer, pool.loop.Clock())
@@ -194,7 +198,7 @@
 			resend = append(resend, offer)
 		default:
 			c.trace("offer never sent", requestID, "err", err)
-			pool.reportConnectFailed(l.workerID, requestID)
+			pool.reportUndelivered(l.workerID, requestID, placement.ConnectFailed)
 		}
 	}
 	for _, offer := range c.openOffers {
--- a/internal/workerpool/probe.go
+++ b/internal/workerpool/probe.go
@@ -17,7 +17,7 @@
 func (p *Pool) Probe(worker string) {
 	var c *workerConn
 	if l := p.links[worker]; l != nil {
-		c = l.connForSending()
+		c = l.connForSending(anyConnection)
 	}
 	if c == nil {
 		p.reportLater(func() {
--- a/internal/workerpool/release.go
+++ b/internal/workerpool/release.go
@@ -46,7 +46,7 @@
 	if len(l.releases) < maxUnconfirmedReleases {
 		l.releases[requestID] = p.loop.Now()
 	}
-	if c := l.connForSending(); c != nil && c.conn.IsUp() { // otherwise resendReleases sends it later, if recorded
+	if c := l.connForSending(anyConnection); c != nil && c.conn.IsUp() { // otherwise resendReleases sends it later, if recorded
 		c.sendFinish(requestID)
 	}
 }
--- a/placement/events.go
+++ b/placement/events.go
@@ -109,6 +109,8 @@
 	QueuedSinceUs int64 // time at which the client started to wait; 0: now
 	Tenant        string
 	Program       uint64
+	// MayHaveRunOn names the workers on which an earlier request with this ID may have run.
+	MayHaveRunOn []string
 }
 
 // Event is an input of a [Scheduler]; its dynamic type is one of the types below.
--- a/placement/filter.go
+++ b/placement/filter.go
@@ -2,9 +2,8 @@
 
 import "math"
 
-// This file owns the filters of a placement, which determine whether a worker may get a task, is
-// healthy and has enough free capacity for the task. A filter looks at one worker at a time and never
-// compares workers.
+// This file owns the filters of a placement, which determine whether a worker may get a task and has
+// enough free capacity for the task. A filter looks at one worker at a time and never compares workers.
 
 // largeTaskShare is the fraction of a worker's effective capacity above which a task counts as
 // large.
@@ -17,7 +16,6 @@
 	index        *workerIndex
 	capacity     *capacityModel
 	reservations *reservations
-	health       *health
 	slowStart    *slowStart
 	spread       *spread
 	overload     *overload
@@ -37,16 +35,16 @@
 // permitsOnceAnswered reports whether all rules other than reservations and the attempt window permit a
 // worker to get a task.
 func (f *filter) permitsOnceAnswered(worker *workerInfo, class *Class, task *taskInfo) bool {
-	return worker.listed && worker.State == Ready && f.now >= worker.drainingUntil &&
-		worker.kindIndex >= 0 && (class.Kind < 0 || class.Kind == worker.kindIndex) &&
+	return eligible(worker, class) && f.now >= worker.drainingUntil &&
 		permitsRepeat(f.now, worker, class, task) && f.spread.permits(worker, class, task) &&
 		f.slowStart.permits(worker)
 }
 
-// healthy reports whether a worker is expected to start a task if it has the free capacity: the
-// worker is healthy for the class of the task and has not failed the task before.
-func (f *filter) healthy(worker *workerInfo, task *taskInfo) bool {
-	return f.health.healthy(worker, task.classIndex) && !task.failedOn(worker)
+// eligible reports whether a worker gets tasks of a class at all: it is listed as ready and of the right
+// kind.
+func eligible(worker *workerInfo, class *Class) bool {
+	return worker.listed && worker.State == Ready &&
+		worker.kindIndex >= 0 && (class.Kind < 0 || class.Kind == worker.kindIndex)
 }
 
 // fits reports whether a worker has free capacity for a task. The capacity requested of the worker, including
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -65,7 +65,7 @@
 	}
 	shape := p.shapeOf(task)
 	units := p.settings.Units(task.Cores, task.Memory)
-	if (!p.unschedulable[shape] || task.mayHaveRun != nil) && p.leavesReservedUnits(task) {
+	if (!p.unschedulable[shape] || task.excludesWorkers()) && p.leavesReservedUnits(task) {
 		if worker := p.search.selectWorker(task); worker != nil {
 			if !p.probes.mustWaitForReport(task, worker) {
 				p.offer(task, worker)
@@ -74,7 +74,7 @@
 			return
 		}
 	}
-	if task.mayHaveRun != nil {
+	if task.excludesWorkers() {
 		return
 	}
 	p.unschedulable[shape] = true
@@ -95,10 +95,29 @@
 		return true
 	}
 	class := p.classOf(task)
-	return task.mayHaveRun != nil &&
+	return p.excludesAll(task) || task.mayHaveRun != nil &&
 		(class.Effect == Unsafe || class.Effect == Keyed && !repeatWindowOpen(p.now, class, task))
 }
 
+// excludesAll reports whether a task may have run on every worker that could get it. It returns false in a
+// large fleet, which has more workers than a task gets attempts.
+func (p *schedulingPass) excludesAll(task *taskInfo) bool {
+	if !task.excludesWorkers() || p.fleet.isLarge() {
+		return false
+	}
+	class, excluded := p.classOf(task), false
+	for _, worker := range p.fleet.sorted {
+		switch {
+		case !eligible(worker, class) || !permitsGroup(worker, class, task):
+		case task.mayHaveRunOn(worker):
+			excluded = true
+		default:
+			return false
+		}
+	}
+	return excluded
+}
+
 // shapeOf returns the shape of a task. The shape includes the program only if the class limits the
 // spread, because otherwise the program does not decide whether a worker is found.
 func (p *schedulingPass) shapeOf(task *taskInfo) taskShape {
--- a/placement/requests.go
+++ b/placement/requests.go
@@ -194,6 +194,7 @@
 		r.forget(task)
 		return
 	}
+	attempt.neverRan = event.Outcome.neverStarted()
 	if event.Outcome.neverStarted() {
 		task.copyRunning = task.copyRunning || task.mayHaveRun != nil && event.Cause == CauseWrongWorker
 	} else if task.mayHaveRun == nil {
--- a/placement/requests_test.go
+++ b/placement/requests_test.go
@@ -106,6 +106,50 @@
 	}
 }
 
+// Guards against a second attempt at a worker on which the task may have run, whose messages about the first attempt
+// would be taken for those about the second. A request for which no other worker is left gets its response at once. After an
+// outcome which shows that the task never ran, the worker may get the task again.
+func TestNoSecondAttemptWhereTaskMayHaveRun(t *testing.T) {
+	for _, test := range []struct {
+		outcome Outcome
+		again   bool
+	}{
+		{Failed, false}, {TimedOut, false}, {Reset, false}, {Cancelled, false},
+		{Rejected, true}, {ConnectFailed, true}, {NeverSent, true},
+	} {
+		t.Run(fmt.Sprint("outcome ", test.outcome), func(t *testing.T) {
+			f := newFixture(t, testSettings(), 3, smallWorker("a", 0, 30))
+			f.handleAfter(ms, f.request("1", "safe", 1, 2))
+			actions := f.handleAfter(10*ms, AttemptEnded{RequestID: "1", Worker: "a", Outcome: test.outcome})
+			if offers := len(ofType[Place](actions)); (offers == 1) != test.again {
+				t.Errorf("got %d further offers to the only worker, want one: %v", offers, test.again)
+			}
+			if rejected := len(ofType[Reject](actions)) == 1; rejected == test.again {
+				t.Errorf("rejected: %v, want the opposite", rejected)
+			}
+
+			repeated := f.request("2", "safe", 1, 2)
+			repeated.MayHaveRunOn = []string{"a"}
+			actions = f.handleAfter(10*ms, repeated)
+			if len(ofType[Place](actions)) > 0 || len(ofType[Reject](actions)) != 1 {
+				t.Errorf("got actions %v for a request with an ID that may have run on the only worker, want a rejection", actions)
+			}
+		})
+	}
+}
+
+// Guards against a task that is kept from its worker and makes others of its shape wait, though the worker fits them.
+func TestExcludedWorkerStaysOpenToOthers(t *testing.T) {
+	f := newFixture(t, testSettings(), 3, smallWorker("a", 0, 30), smallWorker("full", 0, -200))
+	excluded := f.request("1", "safe", 1, 2)
+	excluded.MayHaveRunOn = []string{"a"}
+	other := f.request("2", "safe", 1, 2)
+	offers := ofType[Place](f.handleAfter(ms, excluded, other))
+	if len(offers) != 1 || offers[0].RequestID != "2" || offers[0].Worker != "a" {
+		t.Errorf("got offers %v, want request 2 at worker a", offers)
+	}
+}
+
 func TestOneAttemptAtATime(t *testing.T) {
 	f := newFixture(t, testSettings(), 1, smallWorker("a", 0, 30), smallWorker("b", 0, 30))
 	attempts := len(ofType[Place](f.handleAfter(ms, f.request("1", "safe", 1, 2))))
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -139,8 +139,7 @@
 		index: s.index, residents: s.residents, health: s.health,
 		filter: &filter{
 			environment: s.environment, loads: s.loads, index: s.index, capacity: s.capacity,
-			reservations: s.reservations,
-			health:       s.health, slowStart: s.slowStart, spread: s.spread, overload: s.overload,
+			reservations: s.reservations, slowStart: s.slowStart, spread: s.spread, overload: s.overload,
 		},
 		scorer: &scorer{
 			environment: s.environment, fleet: s.fleet, loads: s.loads, capacity: s.capacity,
--- a/placement/search.go
+++ b/placement/search.go
@@ -149,7 +149,7 @@
 	if !s.filter.feasible(worker, s.class, s.task) || !s.filter.fits(worker, s.task) {
 		return true
 	}
-	if !s.filter.healthy(worker, s.task) {
+	if !s.health.healthy(worker, s.task.classIndex) {
 		s.suspects = append(s.suspects, worker)
 		return true
 	}
@@ -167,7 +167,7 @@
 	class := s.classOf(task)
 	for worker := range s.fleet.pruneUncordoned() {
 		suitable := class.Effect != Unsafe && s.filter.feasible(worker, class, task) &&
-			s.filter.healthy(worker, task) && s.filter.fits(worker, task)
+			s.health.healthy(worker, task.classIndex) && s.filter.fits(worker, task)
 		if suitable && (found == nil || worker.ordinal < found.ordinal) {
 			found = worker
 		}
@@ -226,7 +226,7 @@
 		if !s.filter.feasible(worker, class, task) {
 			continue
 		}
-		if s.filter.healthy(worker, task) {
+		if s.health.healthy(worker, task.classIndex) {
 			balance++
 		} else {
 			balance--
--- a/placement/task.go
+++ b/placement/task.go
@@ -13,6 +13,7 @@
 	ended            bool
 	starting         bool // accepted, but not running yet
 	failed           bool // ended with an error; false again once the task is unusable
+	neverRan         bool // ended with an outcome that implies that the task never ran
 }
 
 // stopWaiting records that the attempt no longer awaits a response.
@@ -52,11 +53,15 @@
 	return t.attempts[number]
 }
 
-// failedOn reports whether an attempt on a worker ended with an error.
-func (t *taskInfo) failedOn(worker *workerInfo) bool {
-	return slices.ContainsFunc(t.attempts, func(a *attemptInfo) bool { return a.failed && a.worker == worker })
+// mayHaveRunOn reports whether an attempt on a worker may have run the task.
+func (t *taskInfo) mayHaveRunOn(worker *workerInfo) bool {
+	mayHaveRun := func(a *attemptInfo) bool { return !a.neverRan && a.worker.Worker == worker.Worker }
+	return slices.ContainsFunc(t.attempts, mayHaveRun) || slices.Contains(t.MayHaveRunOn, worker.Worker)
 }
 
+// excludesWorkers reports whether the task may have run on a worker, which therefore gets it no more.
+func (t *taskInfo) excludesWorkers() bool { return t.mayHaveRun != nil || len(t.MayHaveRunOn) > 0 }
+
 // requested returns the amount of a resource that the task requests.
 func (t *taskInfo) requested(r resource) float64 {
 	if r == resourceCores {
@@ -67,7 +72,7 @@
 
 // taskShape holds the properties by which a scheduling pass recognizes similar tasks. If the pass finds no
 // worker for a task, it skips the search for later tasks of the same shape. This rule does not apply to
-// tasks of which an earlier attempt may have run.
+// tasks that exclude workers.
 type taskShape struct {
 	classIndex    int
 	cores, memory float64
