Let the soak's workers answer late, copy rejections and repeat the ends of cancelled tasks

The stand-in workers repeated the end of a task on the next connection only if it came to its end by itself, the scripts had no late acceptance and no copy of a rejection that meets a second offer, and the soak did not judge a completion that is reported while the task runs.

The heap test drops what the stand-in keeps for its next connection.

--- a/cmd/ravenhitch/failing_links_test.go
+++ b/cmd/ravenhitch/failing_links_test.go
@@ -22,7 +22,7 @@
 	}{
 		{"many abandoned at once, with a delay to half of the workers", strings.Fields("a b c d e f g h i j k l"), manyAbandonedAtOnce},
 		{"abandoned one by one, with a delay to all workers", []string{"a", "b"}, abandonedOneByOne},
-		{"cut between the worker's last message and the cancel", []string{"a", "b"}, cutBeforeCancel},
+		{"cut between the worker's last message and the cancel", []string{"a", "b", "c"}, cutBeforeCancel},
 		{"offered during a partition that heals", []string{"a", "b"}, offeredDuringPartition},
 		{"cancelled during a partition", []string{"a", "b"}, cancelledDuringPartition},
 		{"moved to another address", []string{"a", "b"}, movedToAnotherAddress},
@@ -71,15 +71,14 @@
 
 // A connection is cut after the worker's last message, so the cancel never arrives. The cut must hit a worker
 // that has an attempt. The scheduler chooses at random among equal workers, so worker a may have no attempt.
-// A test that always cut the connection to worker a would then cut one on which no cancel is sent.
+// A test that always cut the connection to worker a would then cut one on which no cancel is sent. A request whose second
+// attempt is offered into the cut needs a third worker, as no worker gets it twice.
 func cutBeforeCancel(t *testing.T, server *proxiedServer) {
 	missed := server.submit("missed", 4, 2000)
 	server.sendNoticesOnceOffered(t, missed)
-	cut := "a"
-	if len(server.attempts.InFlightAt(cut)) == 0 {
-		cut = "b"
-	}
-	server.proxies[cut].Partition(t)
+	hasAttempt := func(worker *testbed.Worker) bool { return len(server.attempts.InFlightAt(worker.Name)) > 0 }
+	cut := server.workers[slices.IndexFunc(server.workers, hasAttempt)]
+	server.proxies[cut.Name].Partition(t)
 	server.expectAllStarted(t, missed)
 }
 
--- a/cmd/ravenhitch/heap_test.go
+++ b/cmd/ravenhitch/heap_test.go
@@ -103,8 +103,10 @@
 }
 
 // discardWorkerEvents empties the channels on which a worker reports offers, cancels and lost offers. Otherwise the
-// worker would block when the channel of offers or of cancels is full.
+// worker would block when the channel of offers or of cancels is full. It also drops the reports that the worker keeps for
+// its next connection, since the heap of the stand-in counts.
 func discardWorkerEvents(worker *testbed.Worker) {
+	worker.ForgetReports()
 	for {
 		select {
 		case <-worker.Offers:
--- a/internal/testbed/attempt_log.go
+++ b/internal/testbed/attempt_log.go
@@ -204,6 +204,13 @@
 	return requestIDs
 }
 
+// IsRunningAt reports whether the task of a request is running at a worker.
+func (a *AttemptLog) IsRunningAt(worker, requestID string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inFlight[requestID][worker].running
+}
+
 // Running returns the IDs of the requests whose tasks are running at a worker.
 func (a *AttemptLog) Running(worker string) (requestIDs []string) {
 	a.mu.Lock()
--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -211,7 +211,11 @@
 	w.mu.Unlock()
 	w.Cancels <- line // before the response, as in receiveOffer
 	if wasRunning {
-		Send(conn, CodeLine("FINISH", line.Tag, codeCancelled))
+		end := CodeLine("FINISH", line.Tag, codeCancelled)
+		Send(conn, end)
+		w.mu.Lock()
+		w.unreported = append(w.unreported, end)
+		w.mu.Unlock()
 	}
 }
 
@@ -268,6 +272,13 @@
 	w.mu.Unlock()
 }
 
+// ForgetReports drops the reports of ended tasks that the worker would send on its next connection.
+func (w *Worker) ForgetReports() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreported = nil
+}
+
 // ReportCompletion completes a task and reports the completion with a code on any open connection. If no
 // connection is open, ReportCompletion waits for the next one.
 func (w *Worker) ReportCompletion(requestID string, rc int) {
--- a/internal/testbed/worker_script.go
+++ b/internal/testbed/worker_script.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 	"net"
 	"strings"
+	"time"
 )
 
 // This file owns the responses that a stand-in worker without a CapacityModel gives to offers.
@@ -11,7 +13,10 @@
 // answerByScript responds to an offer according to the script, which is the first word of the task's key. It
 // reports whether the connection is still open. The scripts are:
 //   - ok- accepts the task.
+//   - late- runs the task and sends the acceptance between minLateAnswer and maxLateAnswer after the offer.
 //   - full- rejects the offer with the cause busy.
+//   - copied- rejects the first attempt of a request without a cause, and sends a second copy of the rejection up to
+//     maxCopyDelay later. It accepts later attempts after inspectionDelay. Attempts are counted as for missed-.
 //   - error- reports that the task failed.
 //   - silent- and any unknown word give no response.
 //   - reset- resets the connection.
@@ -48,6 +53,14 @@
 		Send(conn, finished)
 	case "held":
 		w.runTask(line.Tag)
+	case "late":
+		w.runTask(line.Tag)
+		started := startedLine(line.Tag, w.Name+" holds "+*line.Blob)
+		time.AfterFunc(drawDelay(key, minLateAnswer, maxLateAnswer), func() { Send(conn, started) })
+	case "copied":
+		w.rejectTwice(conn, line)
+	case "inspected":
+		time.AfterFunc(inspectionDelay, func() { w.startIfOpen(conn, line) })
 	case "full":
 		w.Attempts.ended(w.Name, line.Tag)
 		Send(conn, rejectedLine(line.Tag, "busy"))
@@ -65,17 +78,54 @@
 	return true
 }
 
-// script returns the first word of a task's key. Instead of "missed", it returns "silent" at the first
-// attempt of a request and "ok" at later attempts.
+// The delays of answers.
+const (
+	inspectionDelay = 30 * time.Millisecond
+	minLateAnswer   = 100 * time.Millisecond
+	maxLateAnswer   = 1600 * time.Millisecond
+	maxCopyDelay    = 20 * time.Millisecond
+)
+
+// drawDelay returns a delay of at least shortest and less than longest. It depends only on the task's key, so that the same
+// seed draws the same delays.
+func drawDelay(key string, shortest, longest time.Duration) time.Duration {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key)) // Write on a hash never returns an error
+	return shortest + time.Duration(h.Sum64()%uint64(longest-shortest))
+}
+
+// script returns the first word of a task's key. Instead of "missed", it returns "silent" at the first attempt of a request
+// and "ok" at later attempts. Instead of "copied", it returns "inspected" at later attempts.
 func (w *Worker) script(line Line) string {
 	script, _, _ := strings.Cut(line.Opts["key"], "-")
-	if script != "missed" {
-		return script
-	}
-	if w.Attempts.OfferCount(line.Tag) > 1 {
+	isFirst := func() bool { return w.Attempts.OfferCount(line.Tag) <= 1 }
+	switch {
+	case script == "missed" && isFirst():
+		return "silent"
+	case script == "missed":
 		return "ok"
+	case script == "copied" && !isFirst():
+		return "inspected"
+	}
+	return script
+}
+
+// rejectTwice rejects an offer and sends a second copy of the rejection later.
+func (w *Worker) rejectTwice(conn net.Conn, line Line) {
+	w.Attempts.ended(w.Name, line.Tag)
+	rejected := CodeLine("FINISH", line.Tag, codeRejected)
+	Send(conn, rejected)
+	time.AfterFunc(drawDelay(line.Opts["key"], 0, maxCopyDelay), func() { Send(conn, rejected) })
+}
+
+// startIfOpen accepts an offer unless it was cancelled or its connection has ended.
+func (w *Worker) startIfOpen(conn net.Conn, line Line) {
+	w.mu.Lock()
+	open := w.offerConnections[line.Tag] == conn
+	w.mu.Unlock()
+	if open {
+		w.startTask(conn, line.Tag, *line.Blob)
 	}
-	return "silent"
 }
 
 // Accept accepts an offer to which the worker has not responded.
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -31,7 +31,7 @@
 	name  string
 	share int
 }{
-	{"ok", 60}, {"full", 8}, {"missed", 9}, {"silent", 4}, {"error", 3}, {"brief", 4}, {"held", 6}, {"twice", 2}, {"half", 2}, {"reset", 2},
+	{"ok", 52}, {"late", 4}, {"copied", 4}, {"full", 8}, {"missed", 9}, {"silent", 4}, {"error", 3}, {"brief", 4}, {"held", 6}, {"twice", 2}, {"half", 2}, {"reset", 2},
 }
 
 // faultyAnswerScripts contains the scripts that are used only if the plan of the scenario has faultyAnswers set.
@@ -214,7 +214,7 @@
 // receive handles a message from the process, and confirms a completion. If the first response to a request is a FINISH message, the next
 // submission retries its task with a probability of one third.
 func (c *client) receive(line testbed.Line) {
-	key, isResponse := c.scenario.ledger.received(line, time.Now())
+	key, isResponse := c.scenario.received(line, time.Now())
 	if !isResponse {
 		c.confirm(line)
 		return
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -24,18 +24,18 @@
 // scenarios without details. Requests without a response because they and the end of their connection crossed each other
 // count as crossed, which is no violation.
 type verdict struct {
-	requests, afterSIGTERM, crossed                                                     int
-	lost, late, unreported, duplicates, afterLeave, toDraining, uncleanExits, overLimit int
-	firstViolation                                                                      string
+	requests, afterSIGTERM, crossed                                                            int
+	lost, late, unreported, early, duplicates, afterLeave, toDraining, uncleanExits, overLimit int
+	firstViolation                                                                             string
 }
 
 func (v verdict) violations() int {
-	return v.lost + v.late + v.unreported + v.duplicates + v.afterLeave + v.toDraining + v.uncleanExits + v.overLimit
+	return v.lost + v.late + v.unreported + v.early + v.duplicates + v.afterLeave + v.toDraining + v.uncleanExits + v.overLimit
 }
 
 func (v verdict) String() string {
-	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d lost=%d late=%d untold=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d",
-		v.requests, v.afterSIGTERM, v.crossed, v.lost, v.late, v.unreported, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit)
+	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d",
+		v.requests, v.afterSIGTERM, v.crossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit)
 }
 
 func (v *verdict) add(other verdict) {
@@ -45,6 +45,7 @@
 	v.lost += other.lost
 	v.late += other.late
 	v.unreported += other.unreported
+	v.early += other.early
 	v.duplicates += other.duplicates
 	v.afterLeave += other.afterLeave
 	v.toDraining += other.toDraining
@@ -149,6 +150,9 @@
 	if s.isUnreported(r) {
 		v.addViolation(&v.unreported, "untold (completion not reported in time)", s.describeRequest(r)...)
 	}
+	if s.isReportedEarly(r) {
+		v.addViolation(&v.early, "early (completion reported while the task ran)", s.describeRequest(r)...)
+	}
 	if r.responses > 1 && r.leftAt.IsZero() {
 		v.addViolation(&v.duplicates, "twice (more than one response)", s.describeRequest(r)...)
 	}
@@ -196,6 +200,12 @@
 	return r.reportedAt.IsZero() || r.reportedAt.After(due)
 }
 
+// isReportedEarly reports whether the client was told that its task is over while it ran. It returns false if the worker or
+// its path had a fault until then, since a process may take a worker for dead that it cannot reach.
+func (s *scenario) isReportedEarly(r *request) bool {
+	return r.reportedEarly && !r.process.workerNamed(r.startedBy).hadFault(r.submittedAt, r.reportedAt)
+}
+
 // judgeDrains counts the offers that reached a worker more than drainGrace after the start of its drain. It
 // ignores processes whose discovery had a fault.
 func (s *scenario) judgeDrains(v *verdict, p *process) {
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -27,6 +27,8 @@
 	worker         *worker     // worker at which the task ended
 	endedAt        time.Time   // time when the task ended at the worker
 	reportedAt     time.Time   // arrival time of the first FINISH or MOVE message, which reports the end of the request
+	startedBy      string      // name of the worker that the first response names, if it is STARTED
+	reportedEarly  bool        // the task was running at that worker when a FINISH reported its end
 }
 
 // connection records one connection of a client.
@@ -58,7 +60,8 @@
 // received records a message to a client. It returns the key of the message's request and reports whether the message
 // is the first response. Messages with a verb other than STARTED, FINISH and MOVE, or with an unknown request ID, are
 // ignored.
-func (l *ledger) received(line testbed.Line, now time.Time) (key string, isResponse bool) {
+func (s *scenario) received(line testbed.Line, now time.Time) (key string, isResponse bool) {
+	l := s.ledger
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[line.Tag]
@@ -69,12 +72,15 @@
 	switch {
 	case r.respondedAt.IsZero():
 		r.respondedAt, r.response, r.responses = now, line.Verb, 1
-		if line.Verb != "STARTED" {
+		if line.Verb == "STARTED" {
+			r.startedBy, _, _ = strings.Cut(*line.Blob, " ") // the description begins with the name of the worker
+		} else {
 			r.reportedAt = now // a response other than STARTED ends the request: no report of a completion follows it
 		}
 		return r.key, true
 	case isCompletion && r.reportedAt.IsZero():
 		r.reportedAt = now
+		r.reportedEarly = line.Verb == "FINISH" && s.attempts.IsRunningAt(r.startedBy, r.id)
 	default:
 		r.responses++
 	}
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -113,6 +113,16 @@
 	return ports
 }
 
+// workerNamed returns the worker of the process with a name.
+func (p *process) workerNamed(name string) *worker {
+	for _, w := range p.workers {
+		if w.Name == name {
+			return w
+		}
+	}
+	panic("no worker is named " + name)
+}
+
 // publishEntry adds a changed entry of one worker to the list that discovery serves.
 func (p *process) publishEntry(entry string) {
 	p.mu.Lock()
