Keep completions of tasks that are not handed over yet by worker and request

Callers would see: a task that they hand over after a restart has ended, and they are never told.

Cause: such completions were kept by request ID, the first one only. A worker of an attempt that the process before had abandoned repeats its end on the first connection of the new process, and hid the completion of the task at its own worker.

Change: they are kept by worker and request ID.

Result: TestCompletionBesideEndOfAbandonedAttempt got no completion before, and gets it now; go test ./internal/dispatch passed.

--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -3,7 +3,8 @@
 // This file owns unclaimed completions: completions that workers report for tasks that are not in the table.
 // After an orchestrator has ended, its clients submit their running tasks to another orchestrator. A worker
 // reports the completion of a task only once, on any of its connections, and may do so before the client's submission.
-// If that completion were dropped, the adopted task would count as running although it has ended. This file must
+// If that completion were dropped, the adopted task would count as running although it has ended. Several workers may
+// report ends for one request ID: the ended orchestrator had abandoned attempts at all but one of them. This file must
 // never end a task unless its worker has reported the end with the task's request ID.
 
 import "ravenhitch/placement"
@@ -16,40 +17,42 @@
 	maxUnclaimed = 4096
 )
 
+// workerTask identifies a task by its worker and its request ID.
+type workerTask struct{ worker, requestID string }
+
 // unclaimedCompletion is the completion of a task that was not in the table when its worker reported it.
 type unclaimedCompletion struct {
-	worker  string
 	outcome placement.Outcome
 	cause   placement.Cause
 	at      int64 // time of the report, in microseconds
 }
 
-// unclaimedCompletions holds the unclaimed completions by request ID.
+// unclaimedCompletions holds the unclaimed completions by task.
 type unclaimedCompletions struct {
-	byRequestID map[string]unclaimedCompletion
-	order       []string // request IDs, oldest first
+	byTask map[workerTask]unclaimedCompletion
+	order  []workerTask // oldest first
 }
 
 func newUnclaimedCompletions() unclaimedCompletions {
-	return unclaimedCompletions{byRequestID: map[string]unclaimedCompletion{}}
+	return unclaimedCompletions{byTask: map[workerTask]unclaimedCompletion{}}
 }
 
 // UnknownTaskEnded records a worker's report on the end of a task that is not in the table. It ignores the report if a
 // running task cannot end with the outcome.
 func (d *Dispatcher) UnknownTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
 	if isTaskOutcome(outcome) {
-		d.unclaimed.add(requestID, unclaimedCompletion{worker, outcome, cause, now})
+		d.unclaimed.add(workerTask{worker, requestID}, unclaimedCompletion{outcome, cause, now})
 	}
 }
 
-// add stores a completion unless there is one with the same request ID.
-func (u *unclaimedCompletions) add(requestID string, completion unclaimedCompletion) {
-	if _, known := u.byRequestID[requestID]; known {
+// add stores the completion of a task unless there is one already.
+func (u *unclaimedCompletions) add(task workerTask, completion unclaimedCompletion) {
+	if _, known := u.byTask[task]; known {
 		return
 	}
 	u.evict(completion.at)
-	u.byRequestID[requestID] = completion
-	u.order = append(u.order, requestID)
+	u.byTask[task] = completion
+	u.order = append(u.order, task)
 }
 
 // evict removes the completions that are too old. If maxUnclaimed or more are stored, it also removes the oldest
@@ -59,10 +62,10 @@
 	for evicted < len(u.order) {
 		oldest := u.order[evicted]
 		isFull := len(u.order)-evicted >= maxUnclaimed
-		if !isFull && now-u.byRequestID[oldest].at <= unclaimedRetention {
+		if !isFull && now-u.byTask[oldest].at <= unclaimedRetention {
 			break
 		}
-		delete(u.byRequestID, oldest)
+		delete(u.byTask, oldest)
 		evicted++
 	}
 	u.order = u.order[evicted:]
@@ -71,8 +74,8 @@
 // claimCompletion ends an adopted task in the next turn if its worker reported the completion before the adoption,
 // at most unclaimedRetention ago.
 func (d *Dispatcher) claimCompletion(r *request) {
-	completion, ok := d.unclaimed.byRequestID[r.RequestID]
-	if !ok || completion.worker != r.worker || d.now-completion.at > unclaimedRetention {
+	completion, ok := d.unclaimed.byTask[workerTask{r.worker, r.RequestID}]
+	if !ok || d.now-completion.at > unclaimedRetention {
 		return
 	}
 	d.log.Info("adopted task already completed", "request_id", r.RequestID, "worker", r.worker)
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -27,7 +27,7 @@
 		h := newHarness(t)
 		h.updateWorkers(placement.ListFull, placement.Ready, "a", "b")
 		h.UnknownTaskEnded(h.now, c.worker, "t1", c.outcome, 0)
-		h.UnknownTaskEnded(h.now, "b", "t1", placement.Completed, 0) // only the first report counts
+		h.UnknownTaskEnded(h.now, "b", "t1", placement.Completed, 0) // only the first report of the worker counts
 		h.advance(c.after)
 		h.adopt("t1", "a")
 		h.adopt("t2", "a")
@@ -45,6 +45,21 @@
 	}
 }
 
+// Guards against the end of an abandoned attempt at another worker that hides the completion of the task: the adopted task
+// would run for ever. The worker of the abandoned attempt repeats its end on the connection that a new process opens.
+func TestCompletionBesideEndOfAbandonedAttempt(t *testing.T) {
+	h := newHarness(t)
+	h.updateWorkers(placement.ListFull, placement.Ready, "a", "b")
+	h.UnknownTaskEnded(h.now, "b", "t1", placement.Cancelled, 0)
+	h.UnknownTaskEnded(h.now, "a", "t1", placement.Completed, 0)
+	h.UnknownTaskEnded(h.now, "a", "t1", placement.Reset, 0) // only the first report of a worker counts
+	h.adopt("t1", "a")
+	h.advance(100 * millisecond)
+	if h.completions() != "t1 " || h.received[0].Outcome != placement.Completed {
+		t.Errorf("got completions %q and responses %v, want that of t1 as worker a reported it", h.completions(), h.received)
+	}
+}
+
 // The number of unclaimed completions is limited, and old ones are evicted.
 func TestUnclaimedCompletionsAreBounded(t *testing.T) {
 	h := newHarness(t)
@@ -53,12 +68,12 @@
 	}
 	unclaimed := &h.unclaimed
 	oldest := fmt.Sprint("t", 2*maxUnclaimed)
-	if len(unclaimed.byRequestID) != maxUnclaimed || len(unclaimed.order) != maxUnclaimed || unclaimed.order[0] != oldest {
-		t.Errorf("%d completions and %d request IDs, the oldest %s; want the latest maxUnclaimed of both",
-			len(unclaimed.byRequestID), len(unclaimed.order), unclaimed.order[0])
+	if len(unclaimed.byTask) != maxUnclaimed || len(unclaimed.order) != maxUnclaimed || unclaimed.order[0].requestID != oldest {
+		t.Errorf("%d completions and %d tasks, the oldest %s; want the latest maxUnclaimed of both",
+			len(unclaimed.byTask), len(unclaimed.order), unclaimed.order[0].requestID)
 	}
 	h.UnknownTaskEnded(h.now+unclaimedRetention+1, "a", "last", placement.Completed, 0)
-	if len(unclaimed.byRequestID) != 1 || len(unclaimed.order) != 1 {
-		t.Errorf("%d completions older than unclaimedRetention are left, want 0", len(unclaimed.byRequestID)-1)
+	if len(unclaimed.byTask) != 1 || len(unclaimed.order) != 1 {
+		t.Errorf("%d completions older than unclaimedRetention are left, want 0", len(unclaimed.byTask)-1)
 	}
 }
