Give each ping to a worker a tag of its own

Callers would see: a second attempt while the first can still be accepted.

Cause: the tag of a ping was the time of its turn. A ping to a worker that refuses connections and the ping behind a cancel of the same turn had one tag, and the answer to the first, written before the cancel, confirmed the cancel.

--- a/internal/workerpool/cancel_confirmations.go
+++ b/internal/workerpool/cancel_confirmations.go
@@ -7,7 +7,6 @@
 // never be considered read only because it was written.
 
 import (
-	"fmt"
 	"slices"
 
 	"ravenhitch/internal/eventloop"
@@ -37,9 +36,9 @@
 	return cc.pending() && pingTag == cc.pingTag
 }
 
-// await records that a ping is written now behind the cancels of the given requests.
-func (cc *cancelConfirmations) await(requestIDs []string, now int64) {
-	cc.pingTag = fmt.Sprintf("%016x", now)
+// await records that a ping with a tag is written now behind the cancels of the given requests.
+func (cc *cancelConfirmations) await(pingTag string, requestIDs []string, now int64) {
+	cc.pingTag = pingTag
 	cc.pingSentAt = now
 	cc.beforePing, cc.afterPing = requestIDs, nil
 }
@@ -55,7 +54,7 @@
 // pingBehindCancels writes a ping behind the cancels of the given requests and starts the confirmation timer.
 func (c *workerConn) pingBehindCancels(requestIDs []string) {
 	loop := c.link.pool.loop
-	c.cancels.await(requestIDs, loop.Now())
+	c.cancels.await(c.link.pool.nextPingTag(), requestIDs, loop.Now())
 	c.ping(c.cancels.pingTag)
 	c.cancels.timer = loop.After(confirmationTimeout, c.confirmationTimedOut)
 }
--- a/internal/workerpool/cancel_confirmations_test.go
+++ b/internal/workerpool/cancel_confirmations_test.go
@@ -24,7 +24,7 @@
 		t.Errorf("before any cancel: pending() = %v, isAnswer(\"\") = %v, want false", cancels.pending(), cancels.isAnswer(""))
 	}
 
-	cancels.await([]string{"before"}, 255)
+	cancels.await("00000000000000ff", []string{"before"}, 255)
 	cancels.afterPing = append(cancels.afterPing, "after")
 	if !cancels.pending() || !cancels.isAnswer("00000000000000ff") || cancels.isAnswer("00000000000000fe") {
 		t.Errorf("state %+v does not await the answer to ping 00000000000000ff", cancels)
--- a/internal/workerpool/earlier_attempt_test.go
+++ b/internal/workerpool/earlier_attempt_test.go
@@ -172,6 +172,40 @@
 	return at.expect(jsonlines.VerbPending).conn
 }
 
+// Guards against the answer to an earlier ping of the same turn that confirms a cancel, before the worker has read the cancel:
+// the next attempt began while the first could still be accepted.
+func TestAnswerToEarlierPingConfirmsNoCancel(t *testing.T) {
+	listener := nettest.Listen(t)
+	loop, pool, dispatcher := newPool(t)
+	offerToWorker(t, listener, loop, pool, dispatcher)
+	defer startLoop(t, loop, func(int64) { pool.DeliverPending() })()
+	conn := nettest.Accept(t, listener)
+	lines := bufio.NewScanner(conn)
+	next := func(verb string) (line testbed.Line) {
+		t.Helper()
+		if !lines.Scan() || json.Unmarshal(lines.Bytes(), &line) != nil || line.Verb != verb {
+			t.Fatalf("got message %q, want %s", lines.Text(), verb)
+		}
+		return line
+	}
+	next(jsonlines.VerbStart)
+	onLoop(loop, func() {
+		pool.links[workerName].pingAll()
+		pool.CancelAttempt(workerName, requestID, true)
+	})
+	earlier := next(jsonlines.VerbEcho)
+	next(jsonlines.VerbFinish)
+	next(jsonlines.VerbEcho)
+	testbed.Send(conn, testbed.CodeLine(jsonlines.VerbEchoed, earlier.Tag, pingSucceeded))
+	testbed.Send(conn, testbed.Line{Verb: jsonlines.VerbEcho, Tag: requestID})
+	next(jsonlines.VerbEchoed) // the pool has read the answer
+	onLoop(loop, func() {
+		if pool.UnconfirmedCancels() != 1 {
+			t.Error("the answer to an earlier ping confirmed the cancel, want it unconfirmed")
+		}
+	})
+}
+
 func startedLine(requestID string) testbed.Line {
 	description := "held"
 	return testbed.Line{Verb: jsonlines.VerbStarted, Tag: requestID, Blob: &description}
--- a/internal/workerpool/liveness.go
+++ b/internal/workerpool/liveness.go
@@ -3,10 +3,7 @@
 // This file decides from refused connections and restarts whether a worker's process has died. It must never report a
 // worker as dead that may be alive.
 
-import (
-	"fmt"
-	"slices"
-)
+import "slices"
 
 const (
 	// deadAfterRefused is how long a worker may refuse connections, and send nothing on its open connections,
@@ -69,10 +66,9 @@
 	if !l.pool.pingsAllowed {
 		return
 	}
-	pingTag := fmt.Sprintf("%016x", l.pool.loop.Now())
 	for _, c := range l.conns {
 		if c.conn.IsUp() {
-			c.ping(pingTag)
+			c.ping(l.pool.nextPingTag())
 		}
 	}
 }
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -9,6 +9,7 @@
 // pool, and never end an attempt because its deadline has passed: deadlines belong to the dispatcher.
 
 import (
+	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
@@ -45,6 +46,7 @@
 	sortedLinks    []*link                  // the links sorted by worker ID; nil if they must be sorted again
 	isAssigned     func(worker string) bool // reports whether a worker is assigned to this orchestrator; nil if all are
 	connsDialled   uint64                   // number of connections to workers that were dialled
+	pingsSent      uint64                   // number of pings to workers
 	offersMade     uint64                   // number of offers that the dispatcher has made
 	offersSent     int64                    // number of offers that were sent completely and are no longer open
 	pendingReports []func()                 // called by DeliverPending; each reports an outcome to the dispatcher
@@ -247,6 +249,13 @@
 	return p.connsDialled
 }
 
+// nextPingTag returns the tag of a ping that is sent now. No two pings have the same tag, so that the answer to one is never
+// taken for the answer to another.
+func (p *Pool) nextPingTag() string {
+	p.pingsSent++
+	return fmt.Sprintf("%016x", p.pingsSent)
+}
+
 // trace logs one step of a request at debug level.
 func (p *Pool) trace(step, requestID string, args ...any) {
 	p.tracer.Step(step, requestID, p.loop.Now(), args...)
--- a/internal/workerpool/probe.go
+++ b/internal/workerpool/probe.go
@@ -26,7 +26,7 @@
 		})
 		return
 	}
-	pingTag := strconv.FormatInt(p.loop.Now(), 16)
+	pingTag := p.nextPingTag()
 	c.probes[pingTag] = p.loop.Now()
 	c.ping(pingTag)
 	p.loop.After(p.dialTimeoutUs, func() { c.endProbe(pingTag, placement.TimedOut, "") })
