Heed the end of a task also while its offer is open on a dead connection

Callers would see: a task was over, and they were answered with the start of a second run, or when their time was up.

Cause: a report of an end by another connection than the offer's was ignored while the offer was open, and after another worker had rejected the request, since it could be about an earlier attempt at that worker.

Change: worker and request ID name one attempt now, so the report counts. Dispatcher.EndReported decides on all reports by other connections, where the worker pool chose among four calls.

--- a/internal/dispatch/unclaimed.go
+++ b/internal/dispatch/unclaimed.go
@@ -37,11 +37,11 @@
 	return unclaimedCompletions{byTask: map[workerTask]unclaimedCompletion{}}
 }
 
-// UnknownTaskEnded records a worker's report on the end of a task that is not in the table. It ignores the report if a
+// unknownTaskEnded records a worker's report on the end of a task that is not in the table. It ignores the report if a
 // running task cannot end with the outcome.
-func (d *Dispatcher) UnknownTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
+func (d *Dispatcher) unknownTaskEnded(worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
 	if isTaskOutcome(outcome) {
-		d.unclaimed.add(workerTask{worker, requestID}, unclaimedCompletion{outcome, cause, now})
+		d.unclaimed.add(workerTask{worker, requestID}, unclaimedCompletion{outcome, cause, d.now})
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -120,41 +120,54 @@
 	d.TaskEnded(now, worker, requestID, placement.Rejected, cause)
 }
 
-// AbandonedTaskEnded handles a worker's report on the end of a task whose attempt was abandoned earlier: the
-// attempt was cancelled or lost with its connection. If the task ran and has not been offered again since, the
-// request fails, because another attempt would run the task again.
-func (d *Dispatcher) AbandonedTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
+// EndReported handles a worker's report on the end of a task or an attempt that arrived on a connection on which no offer
+// of the request is open. The worker and the request ID name one attempt (see offer_history.go). The report may be the end
+// of a running, released or unresponsive task. If the task is not in the table, the report is kept for its adoption. If the
+// report shows that the task of an attempt without an acceptance ran, the request fails, because another attempt would run
+// the task again; this includes an attempt that was abandoned or lost with its connection, unless another one is open. All
+// other reports change nothing.
+func (d *Dispatcher) EndReported(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
 	d.now = now
+	if !d.Contains(requestID) {
+		d.unknownTaskEnded(worker, requestID, outcome, cause)
+		return
+	}
+	if outcome != placement.Rejected && d.occupies(worker, requestID) {
+		d.TaskEnded(now, worker, requestID, outcome, cause)
+		return
+	}
 	r := d.requests[requestID]
-	if r == nil || r.worker != worker || !r.mayHaveRun || !hasRun(outcome, cause) {
+	if r == nil || !r.mayHaveRunOn(worker) || !hasRun(outcome, cause) {
 		d.traceIgnored(r, worker, outcome)
 		return
 	}
-	switch r.state {
-	case stateCancelling:
-		d.unacceptedTaskEnded(r, cause)
-	case statePending:
-		d.log.Info("task ended before its acceptance was received", "request_id", r.RequestID, "worker", r.worker)
+	d.unacceptedEndReported(r, worker, cause)
+}
+
+// unacceptedEndReported handles a report which shows that the task of a request without an acceptance ran on a worker.
+func (d *Dispatcher) unacceptedEndReported(r *request, worker string, cause placement.Cause) {
+	switch {
+	case r.state == statePending:
+		d.log.Info("task ended before its acceptance was received", "request_id", r.RequestID, "worker", worker)
 		d.queueEvent(placement.ClientCancelled{RequestID: r.RequestID})
 		d.fail(r)
+	case r.worker == worker && r.state == stateCancelling:
+		d.unacceptedTaskEnded(r, cause)
+	case r.worker == worker && r.state == stateOffered:
+		d.workers.CancelAttempt(worker, r.RequestID, false) // the acceptance was lost on the connection of the offer
+		d.unacceptedTaskEnded(r, cause)
 	default:
-		d.traceIgnored(r, worker, outcome)
+		d.traceIgnored(r, worker, placement.Completed)
 	}
 }
 
-// LostTaskEnded handles a worker's report on the end of a task whose offer was lost with its connection, if TaskEnded has
-// not been called for the lost offer yet. If the task ran, the request fails, because another attempt would run the task
-// again.
-func (d *Dispatcher) LostTaskEnded(now int64, worker, requestID string, outcome placement.Outcome, cause placement.Cause) {
-	d.now = now
-	r := d.requests[requestID]
-	if r == nil || r.worker != worker || r.state != stateOffered {
-		d.AbandonedTaskEnded(now, worker, requestID, outcome, cause)
-		return
-	}
-	if hasRun(outcome, cause) {
-		d.unacceptedTaskEnded(r, cause)
+// occupies reports whether a task is running, terminating or unresponsive on a worker.
+func (d *Dispatcher) occupies(worker, requestID string) bool {
+	if r := d.unresponsive[requestID]; r != nil {
+		return r.worker == worker
 	}
+	r := d.requests[requestID]
+	return r != nil && r.worker == worker && r.state.occupiesWorker()
 }
 
 // hasRun reports whether the end of an attempt shows that the task ran although its acceptance was not
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -68,6 +68,16 @@
 	return len(l.conns) < maxConns || len(l.conns[0].openOffers) == 0
 }
 
+// connOfOffer returns the connection on which an offer of a request is written and open, or nil.
+func (l *link) connOfOffer(requestID string) *workerConn {
+	for _, c := range l.conns {
+		if c.writtenOffer(requestID) != nil {
+			return c
+		}
+	}
+	return nil
+}
+
 // connForSending returns the connection for new messages, dialling one if needed or if the number of the present one is
 // not above the given one. The connection may not be established yet. connForSending returns nil if no connection could be
 // dialled.
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -1,7 +1,7 @@
 package workerpool
 
-// This file translates the messages of workers into outcomes for the dispatcher. It must never end an attempt because
-// of an answer that arrived on a connection other than that of the attempt's offer.
+// This file translates the messages of workers into outcomes for the dispatcher. An answer to an offer counts only on the
+// connection of the offer. The dispatcher decides on the reports that arrive on other connections.
 
 import (
 	"strconv"
@@ -122,27 +122,21 @@
 	c.link.pruneConns()
 }
 
-// finishTask handles a FINISH for a request for which no written offer is open on this connection. The message may be
-// the completion of a running task, of a task whose attempt this orchestrator has cancelled or lost with its
-// connection, or of a task that no client has submitted to this orchestrator yet. It may also be a duplicate answer, or
-// an answer to an offer on another connection; such a message must not end an attempt. The outcome "rejected" does
-// not complete a running task: no worker rejects an offer that it has accepted.
+// finishTask handles a FINISH for a request for which no written offer is open on this connection. If its offer is open on
+// another connection, that connection may bring the acceptance and the end of the task first, or it may be dead. The
+// message is then handled after crossingTime.
 func (c *workerConn) finishTask(outcome placement.Outcome, m *jsonlines.Message) {
-	dispatcher, worker, now := c.link.pool.dispatcher, c.link.workerID, c.link.pool.loop.Now()
-	cause := causesByNote[m.Opt("note")]
-	mayHaveRun := outcome != placement.Rejected
-	c.trace("worker reported end", m.Tag, "connection_age_us", c.age(), "code", m.RC, "note", m.Opt("note"),
-		"known", dispatcher.Contains(m.Tag), "lingering", c.lingering)
-	switch {
-	case mayHaveRun && (dispatcher.IsRunning(m.Tag) || dispatcher.IsTerminating(m.Tag)):
-		dispatcher.TaskEnded(now, worker, m.Tag, outcome, cause)
-	case !dispatcher.Contains(m.Tag):
-		dispatcher.UnknownTaskEnded(now, worker, m.Tag, outcome, cause)
-	case c.link.pendingResets[m.Tag]:
-		dispatcher.LostTaskEnded(now, worker, m.Tag, outcome, cause)
-	default:
-		dispatcher.AbandonedTaskEnded(now, worker, m.Tag, outcome, cause)
+	requestID, cause := m.Tag, causesByNote[m.Opt("note")]
+	l, pool := c.link, c.link.pool
+	elsewhere := l.connOfOffer(requestID)
+	c.trace("worker reported end", requestID, "connection_age_us", c.age(), "code", m.RC, "note", m.Opt("note"),
+		"known", pool.dispatcher.Contains(requestID), "lingering", c.lingering, "offer_open_elsewhere", elsewhere != nil)
+	report := func() { pool.dispatcher.EndReported(pool.loop.Now(), l.workerID, requestID, outcome, cause) }
+	if elsewhere != nil {
+		pool.loop.After(crossingTime, report)
+		return
 	}
+	report()
 }
 
 // handleNotice handles a report on a running task. Only the report that the task is running may lack a valid value.
