Keep a late poll of discovery open for its answer

Cause: a poll that was 0.8 s overdue was abandoned, and asked again with the same limit. Discovery answered each poll 1.9 s late, which the protocol allows, so that every answer came 1.1 s after its connection was closed.

Each event is applied once, in whatever order the answers come. A longer limit was not taken: a silent discovery would be noticed as much later. New log event `discovery answered late`.

TestLateAnswersAreHeard fails where the late poll is closed, as before.

--- a/internal/discovery/assignment.go
+++ b/internal/discovery/assignment.go
@@ -90,30 +90,30 @@
 	return maxLateReportMs
 }
 
-// beginPoll returns the parameters that shard assignment adds to a poll's query, and records that the poll in flight
-// names the assigned shards. The parameter "room=late" permits discovery to delay events that report only free
+// beginPoll returns the parameters that shard assignment adds to a poll's query, and the assigned shards, which the poll
+// names. The parameter "room=late" permits discovery to delay events that report only free
 // capacity. The parameter "shards" names the shards whose changes of free capacity discovery reports. The parameter
 // "fresh" names the gained shards, for which discovery must report the free capacity of every worker, changed or not.
-// beginPoll returns "" if shard assignment is not enabled.
-func (s *shardAssignment) beginPoll() (query string) {
+// beginPoll returns an empty query and no shards if shard assignment is not enabled.
+func (s *shardAssignment) beginPoll() (query string, named shard.Set) {
 	if s == nil {
-		return ""
+		return "", nil
 	}
 	s.requested = s.wanted
 	query = "&room=late&shards=" + escapeSet(s.wanted)
 	if gained := s.wanted.Minus(s.active); gained.Len() > 0 {
 		query += "&fresh=" + escapeSet(gained)
 	}
-	return query
+	return query, s.requested
 }
 
-// endPoll must be called when the poll in flight has been answered. It activates the shards that this poll named and
-// that are still assigned. It reports whether a shard became active.
-func (s *shardAssignment) endPoll() (gained bool) {
+// endPoll must be called when a poll has been answered. It activates the shards that this poll named and that are still
+// assigned. It reports whether a shard became active.
+func (s *shardAssignment) endPoll(named shard.Set) (gained bool) {
 	if s == nil {
 		return false
 	}
-	active := s.active.Or(s.requested.And(s.wanted))
+	active := s.active.Or(named.And(s.wanted))
 	gained = !active.Equal(s.active)
 	s.active = active
 	return gained
--- a/internal/discovery/assignment_test.go
+++ b/internal/discovery/assignment_test.go
@@ -39,19 +39,21 @@
 	}
 	expectActive("at the start", 0x0f)
 	const wantFirstQuery = "&room=late&shards=z1:000000000000000f,z2:000000000000000f"
-	if query := assignment.beginPoll(); query != wantFirstQuery || assignment.endPoll() {
+	query, first := assignment.beginPoll()
+	if query != wantFirstQuery || assignment.endPoll(first) {
 		t.Errorf("first poll: got query %q, want %q and no shard gained by its response", query, wantFirstQuery)
 	}
 	if !assignment.change(sameInEveryZone(0x3c)) {
 		t.Error("change from 0x0f to 0x3c: got no active shard lost, want shards lost")
 	}
 	expectActive("with shards lost and gained", 0x0c)
-	if assignment.endPoll() || !assignment.needsPoll() {
+	if assignment.endPoll(first) || !assignment.needsPoll() {
 		t.Error("the response to a poll sent before the change must activate no shard, and another poll must be needed")
 	}
 	const wantQuery = "&room=late&shards=z1:000000000000003c,z2:000000000000003c" +
 		"&fresh=z1:0000000000000030,z2:0000000000000030"
-	if query := assignment.beginPoll(); query != wantQuery {
+	query, second := assignment.beginPoll()
+	if query != wantQuery {
 		t.Errorf("poll for gained shards: got query %q, want %q", query, wantQuery)
 	}
 	if assignment.needsPoll() {
@@ -60,11 +62,11 @@
 	if assignment.change(sameInEveryZone(0x1c)) {
 		t.Error("change from 0x3c to 0x1c: got an active shard lost, want none, because shard 5 was not active")
 	}
-	if !assignment.endPoll() {
+	if !assignment.endPoll(second) {
 		t.Error("endPoll: got no shard gained by the response, want shard 4 gained")
 	}
 	expectActive("after the response, with one requested shard no longer assigned", 0x1c)
-	if query := assignment.beginPoll(); strings.Contains(query, "fresh") {
+	if query, _ := assignment.beginPoll(); strings.Contains(query, "fresh") {
 		t.Errorf("poll after the response: got query %q, want no parameter \"fresh\"", query)
 	}
 	if assignment.change(sameInEveryZone(0x1c)) {
@@ -74,11 +76,11 @@
 		t.Errorf("after a list with a new zone: got active shards %v, want 001c in the new zone at once, "+
 			"because discovery reports all workers of a zone that no poll has named", assignment.active)
 	}
-	if query := assignment.beginPoll(); !strings.HasSuffix(query, ",z3%252C%2520100%2525:000000000000001c") {
+	if query, _ := assignment.beginPoll(); !strings.HasSuffix(query, ",z3%252C%2520100%2525:000000000000001c") {
 		t.Errorf("got query %q, want the name of zone %q escaped at its end", query, "z3, 100%")
 	}
 	var none *shardAssignment
-	if none.beginPoll() != "" || none.endPoll() || none.pollBlockMs() != pollBlockMs ||
+	if query, named := none.beginPoll(); query != "" || none.endPoll(named) || none.pollBlockMs() != pollBlockMs ||
 		assignment.pollBlockMs() != maxLateReportMs {
 		t.Errorf("without an assignment a poll must name no shards and block for %d ms; with one it must block for %d ms",
 			pollBlockMs, maxLateReportMs)
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -4,15 +4,14 @@
 // to this orchestrator.
 package discovery
 
-// This file owns the connection to discovery and the poll in flight. The follower polls continuously, so that the
-// orchestrator learns of an event as soon as discovery has it. Invariant: the follower never has two polls in flight,
-// never misses an event and never stops polling.
+// This file owns the polls. The follower polls continuously, so that the orchestrator learns of an event as soon as
+// discovery has it. Invariant: the follower has one poll in flight besides those that discovery is late to answer, never
+// misses an event and never stops polling.
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
-	"net/http"
+	"slices"
 
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/dispatch"
@@ -31,8 +30,8 @@
 	// pollBlockMs is the maximum time that discovery blocks a poll while there is no event. It applies if shard
 	// assignment is not enabled. It is in milliseconds, the unit of the poll's parameter "block".
 	pollBlockMs = 1_000
-	// responseSlack is the additional time for the response to a poll to arrive. A poll is abandoned if it is not
-	// answered within its maximum blocking time plus responseSlack.
+	// responseSlack is the additional time for the response to a poll to arrive. A poll is late if it is not answered
+	// within its maximum blocking time plus responseSlack.
 	responseSlack = 800 * millisecond
 	// redialDelay is the delay before the next dial after a dial failed, or after a connection was closed by
 	// discovery or because of an error.
@@ -51,8 +50,9 @@
 	address       string
 	dialTimeoutUs int64
 	cursor        int64            // all events with numbers up to this one have been processed
-	conn          *eventloop.Conn  // connection to discovery, open or being dialled; nil if there is none
-	pollTimer     *eventloop.Timer // abandons the poll in flight
+	current       *pollConn        // connection of the poll in flight, or being dialled for it; nil if there is none
+	late          []*pollConn      // connections of polls that are late, oldest first
+	pollTimer     *eventloop.Timer // declares the poll in flight late
 	redialTimer   *eventloop.Timer // starts the next dial
 
 	startTimes startTimes // of the workers, on the clock of the loop
@@ -81,109 +81,134 @@
 // Start dials discovery. The follower polls discovery from the time the connection opens. If the dial cannot be
 // started, the follower dials again after redialDelay.
 func (f *Follower) Start() {
-	conn, err := f.loop.Dial(f.address, f.dialTimeoutUs, f)
+	next := &pollConn{follower: f}
+	conn, err := f.loop.Dial(f.address, f.dialTimeoutUs, next)
 	if err != nil {
 		f.log.Warn("discovery unreachable", "err", err)
 		f.restartIn(redialDelay)
 		return
 	}
-	f.conn = conn
+	next.conn = conn
+	f.current = next
 }
 
-// SetAddress changes the address of discovery. If the new address differs from the old one, the poll in flight is
-// abandoned, because no more events are expected from the old address. The next poll goes to the new address and
-// requests the events after the cursor.
+// SetAddress changes the address of discovery. If the new address differs from the old one, the polls at the old one are
+// abandoned, because no more events are expected from there. The next poll goes to the new address and requests the events
+// after the cursor.
 func (f *Follower) SetAddress(address string) {
 	if address != f.address {
 		f.address = address
+		f.dropLate()
 		f.restartIn(0)
 	}
 }
 
-// restartIn abandons the poll in flight, closes the connection, and dials again after a delay in microseconds. No event
+// restartIn abandons the poll in flight, closes its connection, and dials again after a delay in microseconds. No event
 // is lost: the next poll requests all events after the cursor, and the cursor moves only when a complete response is
 // applied.
 func (f *Follower) restartIn(delayUs int64) {
+	if f.current != nil {
+		f.current.conn.Close()
+	}
+	f.redialIn(delayUs)
+}
+
+// redialIn dials a connection for the next poll after a delay in microseconds.
+func (f *Follower) redialIn(delayUs int64) {
 	f.pollTimer.Stop()
 	f.redialTimer.Stop()
-	if f.conn != nil {
-		f.conn.Close()
-		f.conn = nil
-	}
+	f.current = nil
 	f.redialTimer = f.loop.After(delayUs, f.Start)
 }
 
-// poll sends a request for the events after the cursor, and starts the timer that abandons the poll.
+// poll sends a request for the events after the cursor on the current connection, and starts the timer that declares the
+// poll late.
 func (f *Follower) poll() {
-	blockMs := f.assignment.pollBlockMs()
-	f.conn.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d%s HTTP/1.1\r\nHost: %s\r\n\r\n",
-		f.cursor, blockMs, f.assignment.beginPoll(), f.address)))
+	current, blockMs := f.current, f.assignment.pollBlockMs()
+	var query string
+	query, current.named = f.assignment.beginPoll()
+	current.askedAt = f.loop.Now()
+	current.conn.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d%s HTTP/1.1\r\nHost: %s\r\n\r\n",
+		f.cursor, blockMs, query, f.address)))
 	if f.firstPollAt == 0 {
 		f.firstPollAt = f.loop.Now()
 	}
 	f.pollTimer.Stop()
-	f.pollTimer = f.loop.After(blockMs*millisecond+responseSlack, f.abandonPoll)
+	f.pollTimer = f.loop.After(blockMs*millisecond+responseSlack, f.pollLate)
 }
 
-// abandonPoll abandons the poll in flight, which was not answered in time, and polls on a new connection.
-func (f *Follower) abandonPoll() {
-	f.log.Warn("discovery timed out", "cursor", f.cursor)
-	f.restartIn(0)
+// pollLate polls on a new connection, because the poll in flight was not answered in time. The connection of the late poll
+// stays open if enough descriptors are free. If there are more than maxLatePolls, the oldest one is closed.
+func (f *Follower) pollLate() {
+	f.log.Warn("discovery timed out", "cursor", f.cursor, "late_polls", len(f.late)+1)
+	if f.loop.FreeDescriptors() < latePollMinDescriptors {
+		f.dropLate()
+		f.restartIn(0)
+		return
+	}
+	f.late = append(f.late, f.current)
+	if len(f.late) > maxLatePolls {
+		f.late[0].conn.Close()
+		f.late = f.late[1:]
+	}
+	f.redialIn(0)
 }
 
-// Opened implements eventloop.Handler. It sends the first poll on the connection.
-func (f *Follower) Opened(*eventloop.Conn) { f.poll() }
+// removeLate removes a late poll whose connection has ended.
+func (f *Follower) removeLate(p *pollConn) {
+	f.late = slices.DeleteFunc(f.late, func(other *pollConn) bool { return other == p })
+}
 
-// Closed implements eventloop.Handler. It dials again after redialDelay.
-func (f *Follower) Closed(_ *eventloop.Conn, err error) {
-	if !errors.Is(err, eventloop.ErrEOF) {
-		f.log.Warn("discovery connection failed", "cursor", f.cursor, "err", err)
+// dropLate closes the connections of all late polls.
+func (f *Follower) dropLate() {
+	for _, p := range f.late {
+		p.conn.Close()
 	}
-	f.restartIn(redialDelay)
+	f.late = nil
 }
 
-// Data implements eventloop.Handler. It applies the response of the poll in flight and sends the next poll. It
-// returns an error, which closes the connection, if the response is invalid or its status is not 200. At most one
-// poll is in flight, so bytes that follow its response belong to no request. If there are such bytes, Data sends the
-// next poll on a new connection. On the old connection, they would be read as the response to the next poll, and
-// every later response would be matched to the wrong poll. Data also uses a new connection if the response does not
-// permit another request on the old one.
-func (f *Follower) Data(_ *eventloop.Conn, b []byte) (int, error) {
-	r, used, complete, err := parseFinalResponse(b)
-	if err != nil || !complete {
-		return used, err
-	}
-	if r.status != http.StatusOK {
-		return used, &StatusError{Status: r.status}
-	}
-	update, err := config.ParseUpdate(r.body)
-	if err != nil {
-		return used, err
+// lateAnswer applies the answer to a late poll and closes its connection, and those of the polls before it, whose answers
+// can hold nothing more.
+func (f *Follower) lateAnswer(p *pollConn, update config.Update) {
+	f.log.Warn("discovery answered late", "cursor", update.Cursor, "age_us", f.loop.Now()-p.askedAt)
+	f.hasResponse = true
+	f.applyPolled(p, update)
+	answered := slices.Index(f.late, p) + 1
+	for _, older := range f.late[:answered] {
+		older.conn.Close()
 	}
+	f.late = slices.Clone(f.late[answered:])
+}
+
+// answer applies the answer to the poll in flight and sends the next poll. It drops the late polls, whose answers can hold
+// nothing more. At most one poll is in flight on a connection, so bytes that follow its response belong to no request. If
+// there are such bytes, the next poll is sent on a new connection. On the old connection, they would be read as the
+// response to the next poll, and every later response would be matched to the wrong poll. A new connection is also used if
+// the response does not permit another request on the old one.
+func (f *Follower) answer(r response, update config.Update, hasExcess bool) {
 	f.pollTimer.Stop()
 	f.hasResponse = true
 	f.observeDate(r.dateUs)
-	f.applyPolled(update)
-	hasExcess := used < len(b)
+	f.dropLate()
+	f.applyPolled(f.current, update)
 	if hasExcess {
 		f.log.Warn("unexpected bytes after discovery response", "cursor", f.cursor)
 	}
 	if hasExcess || !r.reusable {
 		f.restartIn(0)
-		return used, nil
+		return
 	}
 	f.poll()
-	return used, nil
 }
 
-// applyPolled applies the update in the response to the poll in flight, and logs the invalid workers that were left out
-// of the update. It activates the shards that the poll named and that are still assigned.
-func (f *Follower) applyPolled(update config.Update) {
+// applyPolled applies the update in the answer to a poll, and logs the invalid workers that were left out of the update. It
+// activates the shards that the poll named and that are still assigned.
+func (f *Follower) applyPolled(p *pollConn, update config.Update) {
 	for _, err := range update.InvalidWorkers {
 		f.log.Warn("invalid worker entry skipped", "err", err)
 	}
 	f.Apply(update, false)
-	if f.assignment.endPoll() {
+	if f.assignment.endPoll(p.named) {
 		f.publishAssignment()
 	}
 }
--- a/internal/discovery/follower_assignment.go
+++ b/internal/discovery/follower_assignment.go
@@ -17,10 +17,11 @@
 
 // SetAssignment replaces the assignment of shards. EnableAssignment must have been called before.
 func (f *Follower) SetAssignment(assigned Assignment) {
+	f.dropLate() // they name shards of the assignment before
 	if f.assignment.change(assigned) {
 		f.publishAssignment()
 	}
-	if f.conn != nil && f.assignment.needsPoll() {
+	if f.current != nil && f.assignment.needsPoll() {
 		f.restartIn(0) // the poll in flight may block for up to maxLateReportMs and does not name the gained shards
 	}
 }
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -37,7 +37,7 @@
 // the loop.
 func newPool(t *testing.T) (*eventloop.Loop, *workerpool.Pool, *dispatch.Dispatcher) {
 	t.Helper()
-	loop, err := eventloop.New(10)
+	loop, err := eventloop.New(2 * latePollMinDescriptors)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -147,3 +147,108 @@
 		t.Errorf("a poll timed out, want none to; log:\n%s", logged.String())
 	}
 }
+
+// listEvent returns the response to a poll that lists a worker in event cursor.
+func listEvent(cursor int, worker string) string {
+	body := fmt.Sprintf(`{"cursor":%d,"cmds":[{"cursor":%d,"nodes":{"complete":false,"members":[{"id":%q,"host_port":"127.0.0.1:9",`+
+		`"locality":"h","flavor":"std","cell":1,"phase":"draining","size":1,"up_since_ms":0,"spare":[1,1]}]}}]}`, cursor, cursor, worker)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// lateDiscovery is a fake discovery server that answers a poll when the test says so.
+type lateDiscovery struct {
+	t     *testing.T
+	polls chan net.Conn // connections on which a poll was received, in order
+}
+
+// newLateDiscovery returns a server that listens until the test ends, and its address.
+func newLateDiscovery(t *testing.T) (discovery *lateDiscovery, address string) {
+	t.Helper()
+	listener := nettest.Listen(t)
+	discovery = &lateDiscovery{t, make(chan net.Conn, 100)}
+	go func() { // ends when the listener is closed at the end of the test
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer testbed.CloseQuietly(conn)
+				for scanner := bufio.NewScanner(conn); scanner.Scan(); {
+					if strings.HasPrefix(scanner.Text(), "GET") {
+						discovery.polls <- conn
+					}
+				}
+			}()
+		}
+	}()
+	return discovery, listener.Addr().String()
+}
+
+// nextPoll waits for the next poll and returns its connection.
+func (d *lateDiscovery) nextPoll() net.Conn {
+	d.t.Helper()
+	return testbed.Wait(d.t, "a poll", d.polls)
+}
+
+// answer answers the poll on a connection.
+func (d *lateDiscovery) answer(poll net.Conn, response string) {
+	d.t.Helper()
+	if _, err := io.WriteString(poll, response); err != nil {
+		d.t.Errorf("the connection of the poll was closed: %v", err)
+	}
+}
+
+// Guards against a discovery that answers each poll only after the next one was sent, and was never heard (review/2): the
+// tasks of a worker that had stopped were never released. The answers may come in any order. Polls that discovery never
+// answers are bounded.
+func TestLateAnswersAreHeard(t *testing.T) {
+	discovery, address := newLateDiscovery(t)
+	loop, pool, dispatcher := newPool(t)
+	follower := NewFollower(loop, dispatcher, pool, address, 1_000_000, slog.New(slog.DiscardHandler))
+	follower.Start()
+	defer runLoop(t, loop, pool, dispatcher)()
+	isListed := func(worker string) (listed bool) {
+		t.Helper()
+		done := make(chan struct{})
+		loop.Post(func() {
+			listed = dispatcher.IsListed(worker)
+			close(done)
+		})
+		<-done
+		return listed
+	}
+	waitListed := func(worker string) {
+		t.Helper()
+		for limit := time.Now().Add(testbed.Timeout); !isListed(worker); time.Sleep(time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatalf("worker %s is not listed, want the late answer that lists it to be applied", worker)
+			}
+		}
+	}
+	first, second := discovery.nextPoll(), discovery.nextPoll()
+	discovery.answer(first, listEvent(1, "s-1"))
+	waitListed("s-1")
+	third := discovery.nextPoll()
+	discovery.answer(third, listEvent(2, "s-2")) // in time, and before the answer to the poll before it
+	waitListed("s-2")
+	discovery.nextPoll()                               // on the connection of the third one
+	_, _ = io.WriteString(second, listEvent(1, "s-1")) // the follower may have closed the connection: the answer holds nothing new
+
+	for range maxLatePolls + 2 {
+		loop.Post(follower.pollLate)
+		discovery.nextPoll()
+	}
+	done := make(chan struct{})
+	loop.Post(func() {
+		if len(follower.late) > maxLatePolls {
+			t.Errorf("%d polls are late, want at most %d", len(follower.late), maxLatePolls)
+		}
+		follower.SetAddress("127.0.0.1:9")
+		if len(follower.late) > 0 {
+			t.Errorf("%d late polls are left after a change of the address, want none", len(follower.late))
+		}
+		close(done)
+	})
+	<-done
+}
