Answer every offer that a gRPC session has read before its stream ends

Cause: the last message of a stream was chosen while offers that were read waited for the event loop, so that their responses came behind it and were dropped. And calls were aborted 150 ms after the front began to close, with the responses that they had queued.

Change: a stream counts what it reads; its last message is chosen when all of it is handled, and nothing is read behind it. The abort comes 150 ms after the end of the drain. The front logs offers and the ends of streams, which it did not: an offer that was read too late and one that was not read looked alike.

TestStreamAnswersWhatItHasRead fails without the count. go test ./internal/grpcfront ./cmd/ravenhitch ./test/delivery passed.

TestSessions: its excuse of 50 ms held for offers that were read. They have none now.

--- a/cmd/ravenhitch/grpc.go
+++ b/cmd/ravenhitch/grpc.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
 
 	"ravenhitch/internal/config"
 	"ravenhitch/internal/grpcfront"
@@ -25,6 +26,8 @@
 	}
 	s.grpcAddr = listener.Addr().String()
 	s.grpcFront = grpcfront.New(s.loop, s.dispatcher, creds)
+	s.grpcFront.SetLog(s.log)
+	s.grpcFront.SetTraceSuffixes(operators.Trace)
 	if s.tokenKeysPath = operators.RetryTokenKeysPath; s.tokenKeysPath != "" {
 		keys, err := loadTokenKeys(s.tokenKeysPath)
 		if err != nil {
@@ -42,12 +45,13 @@
 }
 
 // grpcStopped reports whether no gRPC call is served any more. Its first call begins to close the gRPC front, whose open
-// calls need the event loop until they have ended.
-func (s *server) grpcStopped() bool {
+// calls need the event loop until they have ended. They are aborted grpcFlushUs after drainEnd, a time of the loop.
+func (s *server) grpcStopped(drainEnd int64) bool {
 	if s.grpcFront == nil {
 		return true
 	}
-	s.grpcFront.BeginClose(func() { s.grpcDone = true })
+	timeout := time.Duration(drainEnd+grpcFlushUs-s.loop.Now()) * time.Microsecond
+	s.grpcFront.BeginClose(timeout, func() { s.grpcDone = true })
 	return s.grpcDone
 }
 
--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -24,6 +24,9 @@
 	// flushTimeoutUs is the first part of killMarginUs, in which clients may still read their last responses. The
 	// server stops at the end of this time, or earlier if nothing is left to deliver to clients.
 	flushTimeoutUs = 200 * millisecond
+	// grpcFlushUs is the time after the drain timeout at which the gRPC calls that have not ended are aborted. It leaves
+	// the rest of flushTimeoutUs for the abort.
+	grpcFlushUs = 150 * millisecond
 	// maxSuccessorCheckUs limits how long a shutdown waits for the file worker to check the handover files for a
 	// successor. The files may be on a slow disk.
 	maxSuccessorCheckUs = 100 * millisecond
@@ -99,7 +102,8 @@
 	switch age := s.loop.Now() - since; {
 	case age >= s.drainTimeout:
 		s.rejectAndStop(since, s.drainTimeout)
-	case age >= lateRequestsUs && !s.hasUnfinishedWork() && !s.loop.HasQueuedConnections() && s.grpcStopped() && s.stopListening():
+	case age >= lateRequestsUs && !s.hasUnfinishedWork() && !s.loop.HasQueuedConnections() &&
+		s.grpcStopped(since+s.drainTimeout) && s.stopListening():
 		s.loop.Stop()
 	default:
 		s.loop.After(drainIntervalUs, func() { s.drain(since) })
@@ -134,7 +138,7 @@
 	switch {
 	case age >= timeout:
 		s.rejectAndStop(since, timeout)
-	case s.hasSuccessor && age >= lateRequestsUs && !s.hasUnfinishedWork() && s.grpcStopped():
+	case s.hasSuccessor && age >= lateRequestsUs && !s.hasUnfinishedWork() && s.grpcStopped(since+timeout):
 		s.loop.Stop()
 	default:
 		s.loop.After(drainIntervalUs, func() { s.drainInherited(since) })
@@ -153,7 +157,7 @@
 // kill.
 func (s *server) rejectAndStop(since, timeout int64) {
 	s.dispatcher.RejectAll(s.loop.Now())
-	stopped := s.grpcStopped()
+	stopped := s.grpcStopped(since + timeout)
 	closed := s.inheritedListener || s.stopListening()
 	if stopped && closed && !s.clientFront.HasUndelivered() || s.loop.Now()-since >= timeout+flushTimeoutUs {
 		s.loop.Stop()
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -62,8 +63,6 @@
 	// minClientPingInterval is the minimum time between two pings from a client. The server closes a connection
 	// whose client repeatedly pings more often.
 	minClientPingInterval = 5 * time.Second
-	// closeTimeout is the maximum time that BeginClose waits for calls to end.
-	closeTimeout = 150 * time.Millisecond
 	// acceptRetryDelay is the delay after a connection could not be accepted.
 	acceptRetryDelay = 20 * time.Millisecond
 )
@@ -95,12 +94,15 @@
 	health      *health.Server
 	queuedCalls atomic.Int64 // number of functions queued by post that the event loop has not started
 	keys        atomic.Pointer[retrytoken.Keys]
+	log         *slog.Logger
+	tracer      dispatch.Tracer
 
 	// The following fields are accessed on the event loop only.
 	redeemed       retrytoken.Redeemed
 	tokenCounts    TokenCounts
 	sessions       map[string]*session // by name
 	sessionsOpened uint64              // number of sessions created so far
+	streamsOpened  uint64              // number of streams attached to sessions so far
 	closing        bool
 }
 
@@ -121,6 +123,7 @@
 // connections until Serve is called.
 func New(loop Loop, dispatcher Dispatcher, creds credentials.TransportCredentials) *Front {
 	f := &Front{loop: loop, dispatcher: dispatcher, sessions: map[string]*session{}, health: health.NewServer()}
+	f.SetLog(slog.New(slog.DiscardHandler))
 	f.server = grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(maxMessage),
@@ -137,6 +140,14 @@
 	return f
 }
 
+// SetLog sets the log of sessions and of the offers in them. Without it, the front logs nothing. It must be called before
+// Serve.
+func (f *Front) SetLog(log *slog.Logger) { f.log, f.tracer.Log = log, log }
+
+// SetTraceSuffixes limits the trace of offers to request IDs that end in one of the suffixes. If there are no suffixes, all
+// request IDs are traced. It must be called before Serve.
+func (f *Front) SetTraceSuffixes(suffixes []string) { f.tracer.Suffixes = suffixes }
+
 // retryingListener is a listener whose Accept retries after the errors of a system call that pass, for example if the
 // system is out of buffers or a network error is pending. The gRPC server would stop for good at most of them.
 type retryingListener struct{ net.Listener }
@@ -168,10 +179,10 @@
 func (f *Front) SetNotServing() { f.health.Shutdown() }
 
 // BeginClose ends each stream after its queued messages are sent, and stops the server once its calls have ended. New
-// calls are refused, and offers that a stream still reads are rejected. Calls that have not ended within closeTimeout are aborted. Then it calls stopped on the event loop,
-// which must still run, so that open calls get their responses. BeginClose must be called on the event loop. Only its
-// first call has an effect.
-func (f *Front) BeginClose(stopped func()) {
+// calls are refused, and offers that a stream still reads are rejected. Calls that have not ended within timeout are aborted.
+// Then it calls stopped on the event loop, which must still run, so that open calls get their responses. BeginClose must be
+// called on the event loop. Only its first call has an effect.
+func (f *Front) BeginClose(timeout time.Duration, stopped func()) {
 	if f.closing {
 		return
 	}
@@ -181,8 +192,8 @@
 			session.stream.endGracefully(errShutdown)
 		}
 	}
-	go func() { // the goroutine ends at the latest closeTimeout later, when Stop makes GracefulStop return
-		abort := time.AfterFunc(closeTimeout, f.server.Stop)
+	go func() { // the goroutine ends after timeout at the latest, when Stop makes GracefulStop return
+		abort := time.AfterFunc(timeout, f.server.Stop)
 		defer abort.Stop()
 		f.server.GracefulStop()
 		f.loop.Post(stopped)
--- a/internal/grpcfront/numbering_test.go
+++ b/internal/grpcfront/numbering_test.go
@@ -9,7 +9,7 @@
 // A client has read 57 messages of an earlier process. Its number must not acknowledge messages of this process, and the
 // numbers of these messages must be higher.
 func TestNumbersContinueAfterEarlierProcess(t *testing.T) {
-	front := &Front{sessions: map[string]*session{}}
+	front, _ := newFront()
 	s := front.newSession("a")
 	s.pushEnded(&edgepb.Ended{OfferId: "1"})
 	s.pushEnded(&edgepb.Ended{OfferId: "2"})
--- a/internal/grpcfront/outbox.go
+++ b/internal/grpcfront/outbox.go
@@ -16,13 +16,16 @@
 
 // stream is one gRPC stream of a session. Only the event loop adds messages to the outbox and calls end.
 type stream struct {
+	number     uint64 // number among the streams since the start, from 1
 	outbox     chan *edgepb.ServerMessage
 	done       chan struct{} // closed when the stream is ended
 	err        error         // the status that was passed to end, set before done is closed
 	hasBacklog atomic.Bool   // the backlog is not empty
+	intake     intake        // messages from the client
 
 	// The following fields are accessed on the event loop only.
-	ended bool
+	handled int64 // number of messages from the client that the event loop has handled
+	ended   bool
 	// graceful is true from endGracefully until the stream sends its last message.
 	graceful bool
 	session  *session // nil until the stream is attached, and after attach has refused the stream
@@ -37,6 +40,9 @@
 	return &stream{outbox: make(chan *edgepb.ServerMessage, maxOutbox), done: make(chan struct{})}
 }
 
+// accepts reports whether messages can still be queued for the stream.
+func (st *stream) accepts() bool { return !st.ended || st.graceful }
+
 // end ends the stream with the status err; nil stands for OK. If the stream has ended already, end does nothing.
 func (st *stream) end(err error) {
 	if !st.ended {
@@ -64,7 +70,7 @@
 // send ends the stream.
 func (st *stream) send(message *edgepb.ServerMessage) {
 	switch {
-	case st.ended && !st.graceful:
+	case !st.accepts():
 	case len(st.backlog) > 0 && len(st.backlog) < st.maxBacklog:
 		st.backlog = append(st.backlog, message)
 	case len(st.backlog) > 0 || !st.queue(message):
@@ -91,13 +97,15 @@
 	st.hasBacklog.Store(len(st.backlog) > 0)
 }
 
-// stopQueueing reports whether the stream, which has ended, has sent all messages. After that, none can be queued.
-func (st *stream) stopQueueing() bool {
+// stopQueueing reports whether a stream, which has ended, has sent all messages. After that, none can be queued. While a
+// message of the client was read and not handled, its response may be the last message.
+func (f *Front) stopQueueing(st *stream) bool {
 	st.refill()
-	if len(st.outbox) > 0 {
+	if len(st.outbox) > 0 || !st.intake.closeAfter(st.handled) {
 		return false
 	}
 	st.graceful = false
+	f.log.Debug("session stream closed", "stream", st.number, "at_us", f.loop.Now(), "err", st.err)
 	return true
 }
 
@@ -147,7 +155,7 @@
 			return err
 		}
 		stopped := make(chan bool, 1)
-		f.loop.Post(func() { stopped <- st.stopQueueing() })
+		f.loop.Post(func() { stopped <- f.stopQueueing(st) })
 		select {
 		case isLast := <-stopped:
 			if isLast {
--- a/internal/grpcfront/session.go
+++ b/internal/grpcfront/session.go
@@ -161,6 +161,9 @@
 		s.stream.end(errStreamReplaced)
 	}
 	s.expiry.Stop()
+	f.streamsOpened++
+	st.number = f.streamsOpened
+	f.log.Debug("session stream opened", "session", name, "stream", st.number, "seen", seen)
 	s.stream, s.clientClosed = st, false
 	s.continueAfter(seen)
 	s.acknowledge(seen)
--- a/internal/grpcfront/session_test.go
+++ b/internal/grpcfront/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -93,22 +94,46 @@
 	}
 }
 
+// TestStreamAnswersWhatItHasRead guards against an offer that was read from a stream and reached the event loop behind the
+// last message of the stream, so that it got no response. What is read later is not taken.
+func TestStreamAnswersWhatItHasRead(t *testing.T) {
+	front, _ := newFront()
+	st := newStream()
+	s := front.attach("s", 0, st)
+	front.BeginClose(time.Minute, func() {})
+	if !st.intake.accept() {
+		t.Fatal("the stream takes no offer before its last message")
+	}
+	if front.stopQueueing(st) {
+		t.Fatal("the stream ends while an offer was read and not handled")
+	}
+	st.handled++
+	s.offer(&edgepb.Offer{OfferId: "000000000000000a", Task: "x"}, dispatch.Submission{RequestID: "000000000000000a", Key: "x"}, presentedToken{})
+	if front.stopQueueing(st) || len(st.outbox) != 1 {
+		t.Fatalf("%d responses are queued, want 1, and the stream not to end before it is sent", len(st.outbox))
+	}
+	<-st.outbox
+	if !front.stopQueueing(st) || st.intake.accept() {
+		t.Error("the stream does not end, or takes an offer behind its last message")
+	}
+}
+
 // TestOfferReadWhileClosingIsAnswered asserts that an offer that is read after the front began to close gets a response on
 // its stream, and that the stream takes no message after its last one.
 func TestOfferReadWhileClosingIsAnswered(t *testing.T) {
 	front, _ := newFront()
 	st := newStream()
 	s := front.attach("s", 0, st)
-	front.BeginClose(func() {})
+	front.BeginClose(time.Minute, func() {})
 	offer := &edgepb.Offer{OfferId: "000000000000000a", Task: "x"}
 	s.offer(offer, dispatch.Submission{RequestID: "000000000000000a", Key: "x"}, presentedToken{})
-	if len(st.outbox) != 1 || st.stopQueueing() {
+	if len(st.outbox) != 1 || front.stopQueueing(st) {
 		t.Fatalf("%d responses are queued, want 1, and the stream not to end before it is sent", len(st.outbox))
 	}
 	if message := <-st.outbox; codes.Code(message.GetRejection().GetCode()) != codes.ResourceExhausted {
 		t.Errorf("got %v, want a rejection", message)
 	}
-	if !st.stopQueueing() {
+	if !front.stopQueueing(st) {
 		t.Error("the stream does not end although all is sent")
 	}
 	s.offer(offer, dispatch.Submission{RequestID: "000000000000000b", Key: "y"}, presentedToken{})
--- a/internal/grpcfront/stream.go
+++ b/internal/grpcfront/stream.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"ravenhitch/internal/grpcfront/edgepb"
@@ -54,8 +55,40 @@
 	}
 }
 
-// receiveAll passes the messages that are received on a stream to the event loop, until Recv or receive returns
-// an error. An error of Recv is passed to receiveEnd, and an error of receive becomes the final status of the stream.
+// intake counts the messages that a stream takes from its client. It may be used from any goroutine.
+type intake struct {
+	mu       sync.Mutex
+	accepted int64
+	closed   bool
+}
+
+// accept counts a message, and reports whether the stream takes it. It takes none once the intake is closed.
+func (in *intake) accept() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.closed {
+		in.accepted++
+	}
+	return !in.closed
+}
+
+// withdraw uncounts a message that was accepted and is not handled.
+func (in *intake) withdraw() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.accepted--
+}
+
+// closeAfter closes the intake if no more than handled messages were accepted, and reports whether it is closed.
+func (in *intake) closeAfter(handled int64) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.closed = in.closed || in.accepted <= handled
+	return in.closed
+}
+
+// receiveAll passes the messages that are received on a stream to the event loop, until Recv fails or a message is not
+// accepted. An error of Recv is passed to receiveEnd, and any other error becomes the final status of the stream.
 func (f *Front) receiveAll(server edgepb.Orchestrator_SessionServer, st *stream) {
 	for {
 		message, err := server.Recv()
@@ -63,7 +96,20 @@
 			f.loop.Post(func() { st.receiveEnd(err) })
 			return
 		}
-		if err := f.receive(message, st); err != nil {
+		if !st.intake.accept() {
+			return // the stream has ended: the client offers again what has no response
+		}
+		handle := f.handlerOf(message, st)
+		if handle == nil {
+			err = errUnknownMessage
+		} else {
+			err = f.post(func() {
+				st.handled++
+				handle()
+			})
+		}
+		if err != nil {
+			st.intake.withdraw()
 			f.loop.Post(func() { st.end(err) })
 			return
 		}
@@ -84,41 +130,45 @@
 	}
 }
 
-// receive passes one message from the client to the event loop. The error is the status that the stream ends with.
-func (f *Front) receive(message *edgepb.ClientMessage, st *stream) error {
+// handlerOf returns the function that handles a message from the client on the event loop, or nil if the kind of the
+// message is unknown.
+func (f *Front) handlerOf(message *edgepb.ClientMessage, st *stream) func() {
 	switch kind := message.GetKind().(type) {
 	case *edgepb.ClientMessage_Offer:
-		return f.receiveOffer(kind.Offer, st)
+		return f.handlerOfOffer(kind.Offer, st)
 	case *edgepb.ClientMessage_Release:
 		requestID := kind.Release.GetOfferId()
-		return f.post(func() {
+		return func() {
 			if s := st.attachedSession(); s != nil {
 				s.release(requestID)
 			}
-		})
+		}
 	case *edgepb.ClientMessage_Ack:
-		return f.post(func() {
+		return func() {
 			if s := st.session; s != nil { // an ack is valid even if a newer stream has replaced this one
 				s.acknowledge(kind.Ack)
 			}
-		})
+		}
 	}
-	return errUnknownMessage
+	return nil
 }
 
-// receiveOffer validates an offer and its retry token, and passes the offer or its rejection to the event loop.
-func (f *Front) receiveOffer(offer *edgepb.Offer, st *stream) error {
+// handlerOfOffer validates an offer and its retry token, and returns the function that submits or rejects the offer.
+func (f *Front) handlerOfOffer(offer *edgepb.Offer, st *stream) func() {
 	submission, invalid := parseOffer(offer)
 	token := f.verifyToken(offer)
-	return f.post(func() {
-		switch s := st.attachedSession(); {
+	return func() {
+		s := st.attachedSession()
+		f.tracer.Step("session offer received", offer.GetOfferId(), f.loop.Now(), "stream", st.number, "attached", s != nil,
+			"stream_sends", st.accepts())
+		switch {
 		case s == nil:
 		case invalid != nil:
 			s.rejectOffer(offer, invalid)
 		default:
 			s.offer(offer, submission, token)
 		}
-	})
+	}
 }
 
 // attachedSession returns the session whose current stream is st, or nil if st was never attached, was detached or
--- a/test/delivery/sessions_test.go
+++ b/test/delivery/sessions_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,10 +32,15 @@
 var sessionSeedsFlag = flag.Int("sessionseeds", 8, "number of scenarios of TestSessions, each with its own seed")
 
 const (
-	sessionCount   = 4
-	sessionOffers  = 60 // maximum number of open offers per session
-	sessionWaitMs  = 1500
-	crossingLimit  = 50 * time.Millisecond // an offer and the end of its stream may cross each other within this time
+	sessionCount  = 4
+	sessionOffers = 60 // maximum number of open offers per session
+	sessionWaitMs = 1500
+	// crossingLimit is the time within which an offer that is not read and the end of its stream may cross each other,
+	// besides the pauses of the host.
+	crossingLimit = 50 * time.Millisecond
+	// streamEndLimit is the time within which a client learns that the orchestrator closed its stream, besides the pauses of
+	// the host.
+	streamEndLimit = 200 * time.Millisecond
 	sessionsStopAt = 2500 * time.Millisecond
 	// sessionsKillAfter is the time from SIGTERM to SIGKILL: 3 s, as a class has a longer deadline, and 0.7 s.
 	sessionsKillAfter = 3700 * time.Millisecond
@@ -49,6 +55,7 @@
 	path     *testbed.Proxy // from the clients to the gRPC front
 	stopped  chan struct{}  // closed before SIGTERM
 	done     chan struct{}  // closed when the orchestrator has ended
+	pauses   testbed.PauseMeter
 
 	mu      sync.Mutex // guards endedAt
 	endedAt map[string]time.Time
@@ -86,6 +93,7 @@
 	}
 	group.Go(s.endTasks)
 	group.Go(s.injectFaults)
+	group.Go(func() { s.pauses.Run(s.done) })
 	time.Sleep(sessionsStopAt)
 	close(s.stopped)
 	stoppedAt := time.Now()
@@ -190,8 +198,8 @@
 // sessionOffer is an offer of a client and what it has received for it.
 type sessionOffer struct {
 	offer     *edgepb.Offer
-	sentAt    time.Time // time of the last submission
-	stream    int       // number of the stream of the last submission
+	sentAt    time.Time // time of the last submission that was sent
+	stream    int       // number of the stream of this submission
 	sends     int
 	responses []string // kinds of the responses
 	ends      int
@@ -349,12 +357,18 @@
 	return offer
 }
 
+// send sends an offer. It counts as sent once the client's transport has taken it.
 func (c *sessionClient) send(stream edgepb.Orchestrator_SessionClient, offer *sessionOffer) {
 	c.mu.Lock()
 	offer.sends++
-	offer.sentAt, offer.stream = time.Now(), c.streams
 	c.mu.Unlock()
-	_ = stream.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Offer{Offer: offer.offer}}) // Recv reports the error
+	err := stream.Send(&edgepb.ClientMessage{Kind: &edgepb.ClientMessage_Offer{Offer: offer.offer}})
+	if err != nil {
+		return // Recv reports the error
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	offer.sentAt, offer.stream = time.Now(), c.streams
 }
 
 // settleTime is the time before SIGTERM in which a task may end without a report: faults last until then.
@@ -370,9 +384,8 @@
 		if len(offer.responses) > offer.sends {
 			t.Errorf("offer %s was sent %d times and got the responses %v", id, offer.sends, offer.responses)
 		}
-		crossed := c.endedAt.Sub(offer.sentAt) <= crossingLimit
-		if len(offer.responses) == 0 && !crossed && offer.stream == c.streams {
-			t.Errorf("offer %s got no response; it was sent at %s, %s", id, offer.sentAt.Format("05.000"), c.streamEnds[len(c.streamEnds)-1])
+		if len(offer.responses) == 0 && offer.stream == c.streams {
+			c.checkUnanswered(offer)
 		}
 		endedAt, hasEnded := c.scenario.endedAt[id]
 		isDue := hasEnded && endedAt.Before(stoppedAt.Add(-settleTime)) && slices.Contains(offer.responses, "binding")
@@ -382,6 +395,63 @@
 	}
 }
 
+// checkUnanswered checks an offer that got no response on the last stream of the session. The orchestrator must not have read
+// it from that stream: an offer that crosses the end of its stream is to be offered again. The client must have sent it
+// at most crossingLimit before the orchestrator closed the stream for offers, and must have learned of the end soon after.
+// If the orchestrator did not close the stream, the time at which the client learned of its end stands for both.
+func (c *sessionClient) checkUnanswered(offer *sessionOffer) {
+	t, s, id := c.scenario.t, c.scenario, offer.offer.GetOfferId()
+	last := s.lastStream(c.name, id)
+	closedAt := last.closedAt
+	if closedAt.IsZero() {
+		closedAt = c.endedAt
+	}
+	sentTooEarly := closedAt.Sub(offer.sentAt) > crossingLimit+s.pauses.TotalBetween(offer.sentAt, closedAt)
+	endedTooLate := c.endedAt.Sub(closedAt) > streamEndLimit+s.pauses.TotalBetween(closedAt, c.endedAt)
+	if last.wasRead || sentTooEarly || endedTooLate {
+		t.Errorf("offer %s got no response; it was sent at %s, read: %v, stream closed at %s, %s\n%s", id, offer.sentAt.Format("05.000"),
+			last.wasRead, closedAt.Format("05.000"), c.streamEnds[len(c.streamEnds)-1], strings.Join(last.lines, "\n"))
+	}
+}
+
+// streamLog is what the log of the orchestrator says of a stream and an offer.
+type streamLog struct {
+	number   string
+	wasRead  bool      // the offer was read from the stream
+	closedAt time.Time // time at which the orchestrator closed the stream for offers, zero if it did not
+	lines    []string  // all lines about the offer and the ends of streams
+}
+
+// lastStream returns what the log says of the last stream of a session and an offer.
+func (s *sessionScenario) lastStream(session, offerID string) (last streamLog) {
+	for _, line := range s.Lines() {
+		isLast := logField(line, "stream") == last.number
+		switch {
+		case strings.Contains(line, `msg="session stream opened"`) && logField(line, "session") == session:
+			last = streamLog{number: logField(line, "stream"), lines: last.lines}
+		case strings.Contains(line, `msg="session offer received"`) && logField(line, "request_id") == offerID:
+			last.wasRead = last.wasRead || isLast
+		case strings.Contains(line, `msg="session stream closed"`) && isLast:
+			at, err := strconv.ParseInt(logField(line, "at_us"), 10, 64)
+			if err != nil {
+				s.t.Errorf("log line %q has no time: %v", line, err)
+			}
+			last.closedAt = time.UnixMicro(at)
+		case !strings.Contains(line, offerID):
+			continue
+		}
+		last.lines = append(last.lines, line)
+	}
+	return last
+}
+
+// logField returns the value of a field of a log line, or "" if the line does not have the field.
+func logField(line, name string) string {
+	_, rest, _ := strings.Cut(line, " "+name+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
 // count adds the offers, their responses and the reported ends to the counts.
 func (c *sessionClient) count(counts map[string]int) {
 	counts["offers"] += len(c.offers)
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -144,7 +143,7 @@
 		v.crossed++
 	}
 	due := r.submittedAt.Add(r.timeout + responseSlack)
-	if r.leftAt.IsZero() && r.respondedAt.After(due.Add(s.pauses.totalBetween(r.submittedAt, r.respondedAt))) {
+	if r.leftAt.IsZero() && r.respondedAt.After(due.Add(s.pauses.TotalBetween(r.submittedAt, r.respondedAt))) {
 		v.addViolation(&v.late, "late (response after its limit)", s.describeRequest(r)...)
 	}
 	if s.isUnreported(r) {
@@ -158,7 +157,7 @@
 	}
 	offeredAt := s.attempts.LastOfferAt(r.id)
 	limit := r.leftAt.Add(leaveLimit + maxPathDelay)
-	if !r.leftAt.IsZero() && offeredAt.After(limit.Add(s.pauses.totalBetween(r.leftAt, offeredAt))) {
+	if !r.leftAt.IsZero() && offeredAt.After(limit.Add(s.pauses.TotalBetween(r.leftAt, offeredAt))) {
 		v.addViolation(&v.afterLeave, "after_leave (offer after its client left)",
 			append(s.describeRequest(r), fmt.Sprintf("offered %s after the client left", offeredAt.Sub(r.leftAt)))...)
 	}
@@ -171,7 +170,7 @@
 		return false
 	}
 	crossed := !r.disconnectedAt.IsZero() &&
-		r.disconnectedAt.Sub(r.submittedAt) <= crossingLimit+s.pauses.totalBetween(r.submittedAt, r.disconnectedAt)
+		r.disconnectedAt.Sub(r.submittedAt) <= crossingLimit+s.pauses.TotalBetween(r.submittedAt, r.disconnectedAt)
 	return wasRead || !crossed
 }
 
@@ -192,7 +191,7 @@
 		return false
 	}
 	due := r.endedAt.Add(reportLimit + ruleSlack)
-	due = due.Add(s.pauses.totalBetween(r.endedAt, due))
+	due = due.Add(s.pauses.TotalBetween(r.endedAt, due))
 	if r.process.exitedAt.Before(due) || r.worker.hadFault(r.submittedAt, due) ||
 		r.worker.LostConnection(r.endedAt.Add(-reportLossWindow), due) {
 		return false
@@ -217,7 +216,7 @@
 		for _, arrival := range s.attempts.Arrivals(w.Name) {
 			r := s.ledger.requests[arrival.RequestID]
 			limit := drainingSince.Add(drainGrace + ruleSlack)
-			limit = limit.Add(s.pauses.totalBetween(drainingSince, arrival.At))
+			limit = limit.Add(s.pauses.TotalBetween(drainingSince, arrival.At))
 			if r != nil && !r.process.discoveryFaulted.Load() && arrival.At.After(limit) {
 				v.addViolation(&v.toDraining, "to_draining (offer to a draining worker)", append(s.describeRequest(r),
 					fmt.Sprintf("%s had been draining for %s", w.Name, arrival.At.Sub(drainingSince)))...)
@@ -233,47 +232,3 @@
 	}
 	return append([]string{r.String()}, r.process.requestLogLines(r.id)...)
 }
-
-// The pause meter wakes up every pauseInterval. It counts a wake-up as a pause if it is late by more than
-// minPause.
-const (
-	pauseInterval = 5 * time.Millisecond
-	minPause      = 10 * time.Millisecond
-)
-
-// pauseMeter records the intervals in which the host did not run the test process although a timer of the
-// process had expired. The test observes events in these intervals too late.
-type pauseMeter struct {
-	mu     sync.Mutex
-	pauses []interval
-}
-
-// run records pauses until done is closed.
-func (m *pauseMeter) run(done <-chan struct{}) {
-	for last := time.Now(); ; {
-		select {
-		case <-done:
-			return
-		case <-time.After(pauseInterval):
-		}
-		now := time.Now()
-		if now.Sub(last) > pauseInterval+minPause {
-			m.mu.Lock()
-			m.pauses = append(m.pauses, interval{last.Add(pauseInterval), now})
-			m.mu.Unlock()
-		}
-		last = now
-	}
-}
-
-// totalBetween returns the total length of the recorded pauses that overlap the time between from and to.
-func (m *pauseMeter) totalBetween(from, to time.Time) (sum time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, pause := range m.pauses {
-		if pause.overlaps(from, to) {
-			sum += pause.to.Sub(pause.from)
-		}
-	}
-	return sum
-}
--- a/test/soak/life_test.go
+++ b/test/soak/life_test.go
@@ -24,7 +24,7 @@
 	attempts  *testbed.AttemptLog
 	ledger    *ledger
 	processes []*process
-	pauses    pauseMeter
+	pauses    testbed.PauseMeter
 	done      chan struct{} // closed once the last process has exited
 }
 
@@ -98,7 +98,7 @@
 	s := &scenario{t: t, plan: p, attempts: testbed.NewAttemptLog(), ledger: newLedger(), done: make(chan struct{})}
 	s.startProcesses(built)
 	s.startedAt = time.Now()
-	go s.pauses.run(s.done)
+	go s.pauses.Run(s.done)
 
 	var group sync.WaitGroup
 	for _, p := range s.processes {
