Give each offer of one task over gRPC its response and its end

Cause: a request had one client and one ID for its response, those of its latest submission. Others lost their claim, and their IDs could stay in the table after the request.

Change: dispatch/submitter.go keeps all submissions of a request. Each gets the final response, and the completion if it was told of the start. A cancel takes one submission away.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -23,7 +23,7 @@
 // fallback if the client does not report this time or the request is not in the table.
 func (d *Dispatcher) ClientLastSeenAt(requestID string, fallback int64) int64 {
 	if r := d.requests[requestID]; r != nil {
-		if client, ok := r.client.(ConnectedClient); ok {
+		if client, ok := r.latestClient().(ConnectedClient); ok {
 			return client.LastSeenAt()
 		}
 	}
@@ -84,10 +84,13 @@
 // receives a duplicate request ID. The response is a rejection or, if a retry could do harm, a failure.
 func (d *Dispatcher) Reject(now int64, client Client, requestID string) {
 	d.now = now
-	r := d.find(requestID)
-	if r == nil || r.client != client || !r.state.isOpen() {
-		return
+	if r := d.find(requestID); r != nil && r.includes(client) && r.state.isOpen() {
+		d.rejectOpen(r)
 	}
+}
+
+// rejectOpen ends an open request at once, with a rejection or, if a retry could do harm, a failure.
+func (d *Dispatcher) rejectOpen(r *request) {
 	d.queueEvent(placement.ClientCancelled{RequestID: r.RequestID})
 	r.mayHaveRun = r.mayHaveRun || r.state != statePending
 	d.rejectOrFail(r)
@@ -98,22 +101,32 @@
 func (d *Dispatcher) RejectAll(now int64) {
 	d.now = now
 	for _, r := range d.sorted() {
-		d.Reject(now, r.client, r.RequestID)
+		if r.state.isOpen() {
+			d.rejectOpen(r)
+		}
 	}
 	d.events = nil
 }
 
-// Cancel cancels an open request or releases a running task. The client gets no response. If client is not nil,
-// Cancel does so only if the request still belongs to this client.
+// Cancel cancels an open request or releases a running task. If client is not nil, Cancel does so only for a submission of
+// this client, which gets no response; the request stays open for other submissions that await its response. If client is
+// nil, all submissions that await the response are told that the request was cancelled.
 func (d *Dispatcher) Cancel(now int64, client Client, requestID string) CancelResult {
 	d.now = now
 	r := d.find(requestID)
-	if r == nil || client != nil && r.client != client {
+	if r == nil || client != nil && !r.includes(client) {
 		return NotFound
 	}
 	switch {
 	case r.state.isOpen():
-		d.cancelOpen(r)
+		if client == nil {
+			d.respond(r, Response{Kind: Cancelled})
+		} else if !r.withdraw(submitter{client, requestID}) {
+			return NotFound
+		}
+		if len(r.waiting) == 0 {
+			d.cancelOpen(r)
+		}
 		return WasOpen
 	case r.state == stateRunning:
 		d.counts.Cancelled++
@@ -124,13 +137,13 @@
 	return NotFound
 }
 
-// Abandon cancels an open request whose client no longer waits for the response, if the request still belongs to this
-// client. Unlike after Cancel, a repeat of the submission is a new request, unless a retry could do harm. Then the
-// repeat gets a failure.
+// Abandon handles a submission whose client no longer waits for the response. If no other submission awaits it, the open
+// request is cancelled. Unlike after Cancel, a repeat of the submission is a new request, unless a retry could do harm. Then
+// the repeat gets a failure.
 func (d *Dispatcher) Abandon(now int64, client Client, requestID string) {
 	d.now = now
 	r := d.find(requestID)
-	if r == nil || r.client != client || !r.state.isOpen() {
+	if r == nil || !r.state.isOpen() || !r.withdraw(submitter{client, requestID}) || len(r.waiting) > 0 {
 		return
 	}
 	r.mayHaveRun = r.mayHaveRun || r.state != statePending
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -50,7 +50,7 @@
 	// The request table (requests), and other data by request ID, key or worker.
 	requests      map[string]*request // by request ID
 	latestByKey   map[string]*request // latest request of each task, by key
-	aliases       map[string]*request // resumed requests, by the request IDs of repeated submissions
+	aliases       map[string]*request // resumed requests, by the request IDs of repeats (see request.aliases)
 	unresponsive  map[string]*request // requests of unresponsive tasks (unresponsive.go), by request ID
 	tasksByWorker runningTasks
 	history       offerHistory
@@ -173,13 +173,8 @@
 	if d.latestByKey[r.Key] == r {
 		delete(d.latestByKey, r.Key)
 	}
-	if r.responseID == r.RequestID {
-		return // the latest submission has the original request ID; earlier aliases stay in d.aliases
-	}
-	for alias, resumed := range d.aliases {
-		if resumed == r {
-			delete(d.aliases, alias)
-		}
+	for _, alias := range r.aliases {
+		delete(d.aliases, alias)
 	}
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -14,8 +14,7 @@
 // started. A task that was submitted as already running also has an entry.
 type request struct {
 	Submission
-	client     Client
-	responseID string // request ID of the latest submission of this request, original or repeat; used in responses
+	submitters
 	state      state
 	keyHash    uint64
 	classIndex int     // index of the class in the settings; the last index if the class is not in them
@@ -59,15 +58,13 @@
 }
 
 // newRequest returns the request of a submission. The caller inserts it into the table.
-func (d *Dispatcher) newRequest(client Client, s *Submission) *request {
+func (d *Dispatcher) newRequest(s *Submission) *request {
 	receivedAt := d.now
 	if s.ReceivedAtUs > 0 {
 		receivedAt = min(d.now, s.ReceivedAtUs)
 	}
 	r := &request{
 		Submission:  *s,
-		client:      client,
-		responseID:  s.RequestID,
 		state:       stateNew,
 		keyHash:     keyHash(s.Key),
 		classIndex:  len(d.settings.Classes) - 1,
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -35,17 +35,20 @@
 	Worker        string            // Started: the worker that runs the task
 }
 
-// respond sends a response to the client of a request. If the request is resumable, it also caches the response for
-// repeated submissions. A Started response is not cached, because resume answers the repeats while the task runs.
+// respond sends a response to the submitters of a request that have a claim to it. If the request is resumable, it also
+// caches the response for repeated submissions. A Started response is not cached, because resume answers the repeats while
+// the task runs.
 func (d *Dispatcher) respond(r *request, response Response) {
-	response.RequestID = r.responseID
-	d.trace("response", r, "kind", response.Kind, "response_id", response.RequestID)
-	d.pacer.responded++
 	d.countResponse(r.Class, response.Kind)
 	if response.Kind != Started {
 		d.cacheResponse(r, response)
 	}
-	r.client.Respond(response)
+	for _, submission := range r.recipients(response.Kind) {
+		response.RequestID = submission.requestID
+		d.trace("response", r, "kind", response.Kind, "response_id", response.RequestID)
+		d.pacer.responded++
+		submission.client.Respond(response)
+	}
 }
 
 // isRepeatable reports whether a retry by the client does no harm, whichever worker receives it: the task has not
@@ -83,13 +86,13 @@
 	d.remove(r)
 }
 
-// cacheResponse caches the response to a resumable request, under the request IDs of both its first and its latest
-// submission. It does nothing for other requests.
+// cacheResponse caches the response to a resumable request, under the request IDs of all its submissions. It does nothing
+// for other requests.
 func (d *Dispatcher) cacheResponse(r *request, response Response) {
 	if !r.Resumable {
 		return
 	}
-	for _, requestID := range [...]string{r.RequestID, r.responseID} {
+	for _, requestID := range append([]string{r.RequestID}, r.aliases...) {
 		response.RequestID = requestID
 		d.responses.put(response)
 	}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -34,11 +34,13 @@
 	if err := d.checkNames(&s); err != nil {
 		return err
 	}
-	r := d.newRequest(client, &s)
+	r := d.newRequest(&s)
 	d.insert(r)
 	if s.RunningOn != "" {
+		r.follow(submitter{client, s.RequestID})
 		d.adopt(r)
 	} else {
+		r.await(submitter{client, s.RequestID})
 		d.enqueue(r)
 	}
 	return nil
@@ -67,9 +69,10 @@
 
 // resume handles a repeated submission and reports whether s is a repeat. It is a repeat if its request ID or its key
 // belongs to a request in the table, or if the response to its request ID is cached. The response is sent to client, at
-// once if it is cached or the task runs, and otherwise when the open request gets its final response. Thus the task is
-// not started twice if a response was sent and never read. resume returns ErrKeyInUse if the request in the table is
-// not resumable or has another key, and ErrTerminating if its task is terminating.
+// once if it is cached or the task runs, and otherwise when the open request gets its final response. Earlier submissions
+// of the request keep their claims to it. Thus the task is not started twice if a response was sent and never read. resume
+// returns ErrKeyInUse if the request in the table is not resumable, has another key or was repeated under too many request
+// IDs, and ErrTerminating if its task is terminating.
 func (d *Dispatcher) resume(client Client, s *Submission) (bool, error) {
 	r := d.find(s.RequestID)
 	if r == nil {
@@ -82,22 +85,34 @@
 	switch {
 	case r == nil:
 		return false, nil
-	case !r.Resumable || r.Key != s.Key:
+	case !r.Resumable || r.Key != s.Key || !d.addAlias(r, s.RequestID):
 		return false, ErrKeyInUse
 	case r.state == stateTerminating:
 		return false, ErrTerminating
 	}
-	if s.RequestID != r.RequestID {
-		d.aliases[s.RequestID] = r
-	}
-	r.client, r.responseID = client, s.RequestID
 	d.counts.Resumed++
 	if r.state == stateRunning {
+		r.follow(submitter{client, s.RequestID})
 		client.Respond(Response{Kind: Started, RequestID: s.RequestID, Description: r.startDescription, Worker: r.worker})
+	} else {
+		r.await(submitter{client, s.RequestID})
 	}
 	return true, nil
 }
 
+// addAlias makes a request known under the request ID of a repeat. It returns false if the request has too many already.
+func (d *Dispatcher) addAlias(r *request, requestID string) bool {
+	if requestID == r.RequestID || d.aliases[requestID] == r {
+		return true
+	}
+	if len(r.aliases) >= maxAliases {
+		return false
+	}
+	r.aliases = append(r.aliases, requestID)
+	d.aliases[requestID] = r
+	return true
+}
+
 // checkNames returns ErrRequestIDInUse if the request ID of a submission belongs to a request in the table or to an
 // unresponsive task. It returns ErrKeyInUse if the key belongs to a request with a different value of Resumable, which
 // means that the request came through another front. The check of the key is omitted for a task that is submitted as
