Draw late messages about earlier attempts in the invariants of the dispatcher

Need: the rule that no message about one attempt counts for another had tests of single messages only.

Change: TestInvariants draws acceptances, ends, cancel confirmations and reports of workers that do not have the present attempt, in any order; none may change the state of an attempt or a running task.

--- a/internal/dispatch/invariants_test.go
+++ b/internal/dispatch/invariants_test.go
@@ -53,7 +53,9 @@
 	stepConfirmCancel
 	stepWithholdConfirm
 	stepAssignWorkers
-	stepLast = stepAssignWorkers
+	stepStrayReport1
+	stepStrayReport2
+	stepLast = stepStrayReport2
 )
 
 // step applies one random event, to a random request if the event needs one.
@@ -93,6 +95,38 @@
 	case stepAssignWorkers:
 		assigned := rapid.SampledFrom(append(run.workers, "")).Draw(run.t, "assigned") // "": all workers
 		run.SetAssignedWorkers(run.now, func(worker string) bool { return assigned == "" || worker == assigned })
+	case stepStrayReport1, stepStrayReport2:
+		run.strayReport(id)
+	}
+}
+
+// strayReport lets a worker that does not have the present attempt of a request send a message about an earlier one, as if it
+// was late or came a second time. The present attempt or task must not be affected.
+func (run *randomRun) strayReport(id string) {
+	worker := rapid.SampledFrom(run.workers).Draw(run.t, "reporter")
+	r := run.requests[id]
+	if r != nil && r.worker == worker {
+		return
+	}
+	before := stateRemoved
+	if r != nil {
+		before = r.state
+	}
+	switch rapid.IntRange(0, 4).Draw(run.t, "message") {
+	case 0:
+		run.AttemptAccepted(run.now, worker, id, "late")
+	case 1:
+		run.CancelConfirmed(run.now, worker, id)
+	case 2:
+		run.TaskReported(run.now, worker, id, placement.ReportRunning, 0)
+	default:
+		outcomes := []placement.Outcome{placement.Completed, placement.Failed, placement.Rejected, placement.Reset, placement.Cancelled}
+		causes := []placement.Cause{placement.CauseUnknown, placement.CauseDrained, placement.CauseEvicted}
+		run.EndReported(run.now, worker, id, rapid.SampledFrom(outcomes).Draw(run.t, "outcome"),
+			rapid.SampledFrom(causes).Draw(run.t, "cause"))
+	}
+	if r != nil && before != statePending && r.state != before {
+		run.t.Fatalf("request %s: a message of worker %s about an earlier attempt changed its state from %v to %v", id, worker, before, r.state)
 	}
 }
 
