Keep a client's connection open while one of its tasks runs

Cause: a connection without an open request counted as idle, also while the completion of a task was to be reported on it.

Change: the front records which connection each running task belongs to; one with a task is not idle.

--- a/internal/clientfront/conn.go
+++ b/internal/clientfront/conn.go
@@ -40,6 +40,7 @@
 	hasTask      bool            // a task was started or adopted for a request on this connection
 	hasStarted   bool            // a task was started for a request on this connection
 	confirms     bool            // the client has confirmed a completion
+	taskCount    int             // number of running tasks that belong to the connection
 	invalidCount int             // number of invalid messages received
 }
 
@@ -154,6 +155,9 @@
 	if err := dispatcher.Submit(now, c, submission); err != nil {
 		return c.failMessage(message.Tag, err)
 	}
+	if submission.RunningOn != "" && !isKnown && dispatcher.IsRunning(submission.RequestID) {
+		c.front.tasks.add(submission.RequestID, c)
+	}
 	switch {
 	case submission.RunningOn == "":
 		c.openRequests[submission.RequestID] = true
@@ -204,6 +208,7 @@
 		// All other requests are left unchanged: those that are open on another connection, belong to another
 		// front, or have a task that is already terminating.
 		dispatcher.Cancel(now, nil, requestID)
+		c.front.tasks.remove(requestID)
 	}
 	c.send(&jsonlines.Message{Verb: jsonlines.VerbFinished, Tag: requestID})
 }
--- a/internal/clientfront/front.go
+++ b/internal/clientfront/front.go
@@ -33,12 +33,13 @@
 	tracer        dispatch.Tracer
 	maxConns      int
 	budget        *descriptors.Budget // nil if ShareDescriptors was not called
-	idleTimeoutUs int64               // maximum idle time of a connection without open requests, 0 for no limit
+	idleTimeoutUs int64               // maximum idle time of a connection without open requests and tasks, 0 for no limit
 	clients       map[*clientConn]bool
 	// latestStarted is the most recently active connection on which a task was started. It is nil before the first
 	// task is started. When the connection is closed, latestStarted becomes nil until another connection on which a
 	// task was started becomes active.
 	latestStarted *clientConn
+	tasks         taskRecord
 	unreported    []completion
 	// unconfirmed holds the completions that were sent and that no client has confirmed, by request ID.
 	unconfirmed      map[string]sentCompletion
@@ -46,13 +47,14 @@
 	accepted         uint64 // number of connections accepted so far
 }
 
-// NewFront returns a front that serves at most maxConns connections. The front closes a connection that has no open
-// request and has received no message for more than idleTimeoutUs microseconds. If idleTimeoutUs is 0, there is no
-// idle timeout.
+// NewFront returns a front that serves at most maxConns connections. The front closes a connection that has neither an open
+// request nor a running task and has received no message for more than idleTimeoutUs microseconds. If idleTimeoutUs is 0,
+// there is no idle timeout.
 func NewFront(loop *eventloop.Loop, dispatcher *dispatch.Dispatcher, maxConns int, idleTimeoutUs int64,
 	log *slog.Logger) *Front {
 	return &Front{loop: loop, dispatcher: dispatcher, maxConns: maxConns, idleTimeoutUs: idleTimeoutUs,
-		log: ratelog.New(log), tracer: dispatch.Tracer{Log: log}, clients: map[*clientConn]bool{}, unconfirmed: map[string]sentCompletion{}}
+		log: ratelog.New(log), tracer: dispatch.Tracer{Log: log}, clients: map[*clientConn]bool{}, tasks: taskRecord{},
+		unconfirmed: map[string]sentCompletion{}}
 }
 
 // ShareDescriptors makes the front admit clients only while the descriptor budget allows it.
--- a/internal/clientfront/response.go
+++ b/internal/clientfront/response.go
@@ -19,9 +19,11 @@
 	switch response.Kind {
 	case dispatch.Started:
 		c.hasTask, c.hasStarted, c.front.latestStarted = true, true, c
+		c.front.tasks.add(response.RequestID, c)
 		c.front.reportOn(c)
 	case dispatch.Rejected, dispatch.Failed:
 	default:
+		c.front.tasks.remove(response.RequestID)
 		line := jsonlines.Append(nil, &message)
 		c.front.reportCompletion(c, completion{requestID: response.RequestID, line: line})
 		return
--- a/internal/clientfront/timeouts.go
+++ b/internal/clientfront/timeouts.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// This file owns the timeouts of connections. A connection with an open request must never count as idle.
+// This file owns the timeouts of connections. A connection with an open request or a running task must never count as idle.
 
 // messageTimeout is the maximum time, in microseconds, that a connection may take for its first message and for the
 // rest of an incomplete message. A client may take 2 s to write a message, and a connection that sends no message
@@ -36,8 +36,9 @@
 		c.partialSince > 0 && now-c.partialSince > messageTimeout
 }
 
-// isIdle reports whether the connection has no open request and has been idle for longer than the idle timeout.
+// isIdle reports whether the connection has neither an open request nor a running task and has been idle for longer than the
+// idle timeout.
 func (c *clientConn) isIdle(now int64) bool {
 	timeout := c.front.idleTimeoutUs
-	return len(c.openRequests) == 0 && timeout > 0 && now-c.lastActiveAt > timeout
+	return len(c.openRequests) == 0 && c.taskCount == 0 && timeout > 0 && now-c.lastActiveAt > timeout
 }
