--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -153,8 +153,8 @@
 }
 
 // rejectAndStop rejects or fails the open requests, including those that still arrive. It stops the server once the
-// client front has nothing left to deliver and does not listen any more, at the latest flushTimeoutUs after the drain timeout and thus before the
-// kill.
+// client front has nothing left to deliver and does not listen any more, at the latest flushTimeoutUs after the drain
+// timeout and thus before the kill.
 func (s *server) rejectAndStop(since, timeout int64) {
 	s.dispatcher.RejectAll(s.loop.Now())
 	stopped := s.grpcStopped(since + timeout)
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -71,7 +71,13 @@
 		return // the next connection to be established also receives late completions
 	}
 	l.openedAt = now // set even if the dial fails; otherwise, every sweep would dial again
-	c := &lateCompletionConn{workerConn{link: l, number: l.pool.nextConnNumber(), probes: map[string]int64{}, dialledAt: now, forLateCompletions: true}}
+	c := &lateCompletionConn{workerConn{
+		link:               l,
+		number:             l.pool.nextConnNumber(),
+		probes:             map[string]int64{},
+		dialledAt:          now,
+		forLateCompletions: true,
+	}}
 	conn, err := l.pool.loop.Dial(l.addr, l.pool.dialTimeoutUs, c)
 	if err != nil {
 		l.pool.log.Warn("worker dial failed", "worker", l.workerID, "purpose", "late completions", "err", err)
--- a/internal/workerpool/message.go
+++ b/internal/workerpool/message.go
@@ -96,7 +96,9 @@
 	if !known {
 		outcome = placement.Reset
 	}
-	c.link.releases.confirm(m.Tag)
+	if outcome != placement.Rejected { // a rejection is a copy of the answer to an offer before the released task's
+		c.link.releases.confirm(m.Tag)
+	}
 	if offer := c.writtenOffer(m.Tag); offer != nil {
 		c.finishOffer(offer, outcome, m)
 		return
--- a/internal/workerpool/release_test.go
+++ b/internal/workerpool/release_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"ravenhitch/internal/jsonlines"
 	"ravenhitch/internal/testbed/nettest"
 )
 
@@ -41,3 +42,22 @@
 		t.Error("a release of age releaseRetention was deleted")
 	}
 }
+
+// Guards against a copy of the rejection of an earlier offer that confirms the release of the task: a release that is lost with
+// its connection would not be sent again, and the task would run on.
+func TestRejectionCopyConfirmsNoRelease(t *testing.T) {
+	lt := newLinkTest(t)
+	l := lt.listWorker()
+	lt.runUntil(func() bool { return l.conns[0].conn.IsUp() })
+	lt.adopt(requestID)
+	lt.pool.Release(workerName, requestID)
+	for _, test := range []struct {
+		code        int
+		unconfirmed bool
+	}{{jsonlines.CodeRejected, true}, {jsonlines.CodeNeverSent, true}, {jsonlines.CodeCancelled, false}} {
+		l.conns[0].handleMessage(&jsonlines.Message{Verb: jsonlines.VerbFinish, Tag: requestID, RC: test.code, HasRC: true})
+		if got := lt.pool.HasUnconfirmedReleases(); got != test.unconfirmed {
+			t.Errorf("HasUnconfirmedReleases() = %v after FINISH %d, want %v", got, test.code, test.unconfirmed)
+		}
+	}
+}
