Log why clients' connections end, what a shutdown waits for, and which workers are silent

Change: each end of a client's connection is counted by reason and traced with what was open on it; 'completion dropped', 'shutdown waits', 'worker silent' and 'worker heard again' are new events; 'stopped' shows what was owed. No change of behaviour.

Result: go test ./internal/workerpool ./internal/clientfront and the shutdown tests of ./cmd/ravenhitch passed.

--- a/cmd/ravenhitch/figures.go
+++ b/cmd/ravenhitch/figures.go
@@ -62,10 +62,13 @@
 	if s.grpcFront != nil {
 		tokens = s.grpcFront.TokenCounts()
 	}
-	completions, connections := s.clientFront.CompletionCounts(), s.pool.Counts()
+	completions, connections, clients := s.clientFront.CompletionCounts(), s.pool.Counts(), s.clientFront.ConnectionCounts()
 	return []metrics.Figure{
 		counter("completions_sent", completions.Sent), counter("completions_confirmed", completions.Confirmed),
-		counter("completions_repeated", completions.Repeated),
+		counter("completions_repeated", completions.Repeated), counter("completions_dropped", completions.Dropped),
+		counter("client_conns_evicted", clients.Evicted), counter("client_conns_stalled", clients.Stalled),
+		counter("client_conns_idle", clients.Idle), counter("client_conns_malformed", clients.Malformed),
+		counter("client_conns_closed", clients.ClosedByClient), counter("client_conns_broken", clients.Broken),
 		counter("worker_conns_opened", connections.Opened), counter("worker_conns_aborted", connections.Aborted),
 		counter("worker_conns_closed", connections.Closed), counter("worker_conns_broken", connections.Broken),
 		counter("worker_conns_for_late_completions", connections.LateCompletions),
--- a/cmd/ravenhitch/server.go
+++ b/cmd/ravenhitch/server.go
@@ -74,9 +74,10 @@
 	drainTimeout              int64 // maximum time, in microseconds, for which requests may stay open after Stop
 	drainTimeoutWithSuccessor int64 // value that replaces drainTimeout if a successor serves
 	shuttingDown              bool
-	unlistenedAt              int64 // time at which the server stopped to listen for clients, 0 before that
-	inheritedListener         bool  // true if the platform owns the listening socket for clients
-	hasSuccessor              bool  // true if a process that started later serves on the inherited socket
+	unlistenedAt              int64          // time at which the server stopped to listen for clients, 0 before that
+	inheritedListener         bool           // true if the platform owns the listening socket for clients
+	hasSuccessor              bool           // true if a process that started later serves on the inherited socket
+	unfinishedParts           unfinishedWork // parts of the unfinished work so far in the shutdown
 	// Each value sent to successorChecks makes fileWorker.run check for a successor. The channel is nil if admin
 	// calls are off.
 	successorChecks chan struct{}
@@ -216,6 +217,7 @@
 // connections are closed first: on one that is open, a client could still submit a request, which nothing would read.
 func (s *server) Run() error {
 	err := s.loop.Run(s.turnHandler())
+	unfinished := s.unfinishedWork()
 	s.clientFront.CloseClients()
 	s.pool.Close()
 	s.loop.Close()
@@ -223,7 +225,8 @@
 	s.closeGRPC()
 	s.closeExporters()
 	s.log.Info("stopped", "counts", fmt.Sprintf("%+v", s.dispatcher.Counts()),
-		"completions", fmt.Sprintf("%+v", s.clientFront.CompletionCounts()), "worker_connections", fmt.Sprintf("%+v", s.pool.Counts()))
+		"completions", fmt.Sprintf("%+v", s.clientFront.CompletionCounts()), "worker_connections", fmt.Sprintf("%+v", s.pool.Counts()),
+		"client_connections", fmt.Sprintf("%+v", s.clientFront.ConnectionCounts()), "unfinished", fmt.Sprintf("%+v", unfinished))
 	return err
 }
 
--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -4,6 +4,9 @@
 // before the platform kills the process, the server therefore rejects or fails the requests that are still open.
 
 import (
+	"fmt"
+
+	"ravenhitch/internal/clientfront"
 	"ravenhitch/placement"
 )
 
@@ -145,13 +148,41 @@
 	}
 }
 
-// hasUnfinishedWork reports whether a stop now would lose something: an open request, a message that a client has
-// sent only in part, buffered output to a client, an unreported completion, or a release that its worker has not
-// confirmed.
-func (s *server) hasUnfinishedWork() bool {
-	return s.dispatcher.OpenCount() > 0 || s.clientFront.HasUndelivered() || s.pool.HasUnconfirmedReleases()
+// unfinishedWork is what a stop now would lose.
+type unfinishedWork struct {
+	clientfront.Undelivered
+	OpenRequests        int
+	UnconfirmedReleases bool
+}
+
+// unfinishedWork returns what a stop now would lose, and logs it if it has a part that it did not have before.
+func (s *server) unfinishedWork() unfinishedWork {
+	work := unfinishedWork{s.clientFront.Undelivered(), s.dispatcher.OpenCount(), s.pool.HasUnconfirmedReleases()}
+	if seen := s.unfinishedParts.union(work); seen != s.unfinishedParts {
+		s.unfinishedParts = seen
+		s.log.Info("shutdown waits", "for", fmt.Sprintf("%+v", work))
+	}
+	return work
+}
+
+// union returns the parts that w or other has, each with the count 1.
+func (w unfinishedWork) union(other unfinishedWork) unfinishedWork {
+	part := func(a, b int) int { return min(max(a, b), 1) }
+	return unfinishedWork{
+		Undelivered: clientfront.Undelivered{
+			Unreported:      part(w.Unreported, other.Unreported),
+			Unconfirmed:     part(w.Unconfirmed, other.Unconfirmed),
+			PartialMessages: part(w.PartialMessages, other.PartialMessages),
+			UnsentOutput:    part(w.UnsentOutput, other.UnsentOutput),
+		},
+		OpenRequests:        part(w.OpenRequests, other.OpenRequests),
+		UnconfirmedReleases: w.UnconfirmedReleases || other.UnconfirmedReleases,
+	}
 }
 
+// hasUnfinishedWork reports whether a stop now would lose something.
+func (s *server) hasUnfinishedWork() bool { return s.unfinishedWork() != unfinishedWork{} }
+
 // rejectAndStop rejects or fails the open requests, including those that still arrive. It stops the server once the
 // client front has nothing left to deliver and does not listen any more, at the latest flushTimeoutUs after the drain
 // timeout and thus before the kill.
--- a/internal/clientfront/admission.go
+++ b/internal/clientfront/admission.go
@@ -60,7 +60,7 @@
 		f.log.Warn("no capacity for client connection", "connections", len(f.clients))
 		return false
 	}
-	evicted.rejectAndClose()
+	evicted.rejectAndClose(errEvicted)
 	return true
 }
 
--- a/internal/clientfront/conn.go
+++ b/internal/clientfront/conn.go
@@ -57,7 +57,7 @@
 // Closed implements eventloop.Handler. It cancels the open requests of the connection.
 func (c *clientConn) Closed(_ *eventloop.Conn, err error) {
 	c.front.remove(c)
-	c.front.log.Debug("client connection ended", "connection", c.number, "open", len(c.openRequests), "err", err)
+	c.logEnd(err)
 	c.front.repeatCompletions(c, err)
 	for _, requestID := range slices.Sorted(maps.Keys(c.openRequests)) {
 		c.front.dispatcher.Cancel(c.front.loop.Now(), c, requestID)
@@ -65,9 +65,10 @@
 	c.openRequests = nil
 }
 
-// rejectAndClose ends the open requests and closes the connection. The requests must not stay open: after the close,
-// their responses could not be sent.
-func (c *clientConn) rejectAndClose() {
+// rejectAndClose ends the open requests and closes the connection for a reason. The requests must not stay open: after the
+// close, their responses could not be sent.
+func (c *clientConn) rejectAndClose(reason error) {
+	c.logEnd(reason)
 	c.rejectOpen()
 	c.front.remove(c)
 	c.conn.Close()
@@ -94,7 +95,7 @@
 	})
 	if err != nil {
 		c.front.log.Warn("malformed client message", "err", err)
-		c.rejectAndClose()
+		c.rejectAndClose(errMalformed)
 		return used, nil
 	}
 	switch {
--- a/internal/clientfront/front.go
+++ b/internal/clientfront/front.go
@@ -44,6 +44,7 @@
 	// unconfirmed holds the completions that were sent and that no client has confirmed, by request ID.
 	unconfirmed      map[string]sentCompletion
 	completionCounts CompletionCounts
+	connectionCounts ConnectionCounts
 	accepted         uint64 // number of connections accepted so far
 }
 
@@ -70,21 +71,6 @@
 // Connections returns the number of connected clients.
 func (f *Front) Connections() int { return len(f.clients) }
 
-// HasUndelivered reports whether the front would lose data if the process ended now. It would if a client's message was
-// received only in part, if the kernel has not accepted all output to a client, if a completion has not been
-// reported, or if a client is expected to confirm one.
-func (f *Front) HasUndelivered() bool {
-	if len(f.unreported) > 0 || f.awaitsConfirmation() {
-		return true
-	}
-	for client := range f.clients {
-		if client.partialSince > 0 || client.conn.BytesBuffered() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // CloseClients closes all connections when the program ends. Immediately before it closes a connection, it reads what the
 // client has sent meanwhile and responds to it: the client has handed over a request once it has written it. If input were
 // left, the kernel would also reset the connection, and the client could lose responses that it has not read yet.
--- a/internal/clientfront/timeouts.go
+++ b/internal/clientfront/timeouts.go
@@ -23,10 +23,12 @@
 	}
 	slices.SortFunc(timedOut, func(a, b *clientConn) int { return cmp.Compare(a.number, b.number) })
 	for _, client := range timedOut {
+		reason := errIdle
 		if client.isStalled(now) {
+			reason = errStalled
 			f.log.Warn("client message timed out", "has_message", client.hasMessage)
 		}
-		client.rejectAndClose()
+		client.rejectAndClose(reason)
 	}
 }
 
--- a/internal/clientfront/unconfirmed.go
+++ b/internal/clientfront/unconfirmed.go
@@ -38,8 +38,9 @@
 }
 
 // CompletionCounts counts what became of completions since the start: those that were sent, those that clients
-// confirmed, and those that were sent again, because a connection ended or its client did not read.
-type CompletionCounts struct{ Sent, Confirmed, Repeated int64 }
+// confirmed, those that were sent again, because a connection ended or its client did not read, and those that were dropped
+// although no client is known to have read them.
+type CompletionCounts struct{ Sent, Confirmed, Repeated, Dropped int64 }
 
 // CompletionCounts returns the counts of completions.
 func (f *Front) CompletionCounts() CompletionCounts { return f.completionCounts }
@@ -104,6 +105,9 @@
 // repeat sends a completion again, on the given connection or, if target is nil, as reportCompletion does.
 func (f *Front) repeat(sent sentCompletion, target *clientConn, cause string) {
 	if sent.sendCount >= maxCompletionSends {
+		if target == nil {
+			f.dropCompletion(sent.completion, "sent on too many connections that ended")
+		}
 		return
 	}
 	f.completionCounts.Repeated++
@@ -116,6 +120,12 @@
 	f.reportCompletion(sent.client, sent.completion)
 }
 
+// dropCompletion records that a completion is not sent again although no client is known to have read it.
+func (f *Front) dropCompletion(report completion, cause string) {
+	f.completionCounts.Dropped++
+	f.log.Warn("completion dropped", "request_id", report.requestID, "sends", report.sendCount, "cause", cause)
+}
+
 // unconfirmedOf returns the selected completions in the order in which they were sent.
 func (f *Front) unconfirmedOf(selected func(sentCompletion) bool) (list []sentCompletion) {
 	for _, sent := range f.unconfirmed {
@@ -127,13 +137,13 @@
 	return list
 }
 
-// awaitsConfirmation reports whether the confirmation of a completion is expected soon.
-func (f *Front) awaitsConfirmation() bool {
+// awaitedConfirmations returns the number of completions whose confirmation is expected soon.
+func (f *Front) awaitedConfirmations() (count int) {
 	now := f.loop.Now()
 	for _, sent := range f.unconfirmed {
 		if sent.client.confirms && now-sent.sentAt <= confirmationTimeout {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
--- a/internal/clientfront/unconfirmed_test.go
+++ b/internal/clientfront/unconfirmed_test.go
@@ -55,7 +55,9 @@
 	}{
 		{"reset", func(_ testFront, c *client, _ *clientConn) { testbed.ResetConnection(c.conn) }},
 		{"closed by the client as it is sent", func(_ testFront, c *client, _ *clientConn) { testbed.CloseQuietly(c.conn) }},
-		{"closed by the front", func(front testFront, _ *client, conn *clientConn) { front.onLoop(conn.rejectAndClose) }},
+		{"closed by the front", func(front testFront, _ *client, conn *clientConn) {
+			front.onLoop(func() { conn.rejectAndClose(errIdle) })
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			front := startFront(t, 10)
--- a/internal/clientfront/unreported.go
+++ b/internal/clientfront/unreported.go
@@ -37,10 +37,12 @@
 		return
 	}
 	f.tracer.Step("completion unreported", report.requestID, f.loop.Now())
-	if len(f.unreported) < maxUnreported {
-		report.queuedAt = f.loop.Now()
-		f.unreported = append(f.unreported, report)
+	if len(f.unreported) >= maxUnreported {
+		f.dropCompletion(report, "too many completions wait for a connection")
+		return
 	}
+	report.queuedAt = f.loop.Now()
+	f.unreported = append(f.unreported, report)
 }
 
 // bestConn returns the best open connection other than excluded for reporting a completion, or nil if none has at
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -186,6 +186,7 @@
 func (c *workerConn) Opened(*eventloop.Conn) {
 	l, now := c.link, c.link.pool.loop.Now()
 	c.lastReadAt, c.established = now, true
+	l.heard(now)
 	c.enableKeepAlive()
 	if connectUs := now - c.dialledAt; l.minConnectUs == 0 || connectUs < l.minConnectUs {
 		l.minConnectUs = connectUs
@@ -245,6 +246,7 @@
 func (c *workerConn) Data(_ *eventloop.Conn, b []byte) (int, error) {
 	loop := c.link.pool.loop
 	c.lastReadAt, c.link.refusedSince = loop.Now(), 0
+	c.link.heard(loop.Now())
 	used, err := jsonlines.ForEachLine(b, c.handleLine)
 	if used > 0 {
 		c.partialTimer.Stop()
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -105,6 +105,7 @@
 // Opened implements eventloop.Handler.
 func (c *lateCompletionConn) Opened(*eventloop.Conn) {
 	c.established, c.lastReadAt = true, c.link.pool.loop.Now()
+	c.link.heard(c.lastReadAt)
 	c.link.opened(c.dialledAt)
 	c.link.pool.counts.LateCompletions++
 	c.link.pool.log.Debug("connection for late completions opened", "worker", c.link.workerID,
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -17,6 +17,9 @@
 const (
 	minRedialBackoff = 100 * millisecond
 	maxRedialBackoff = 2 * second
+	// silentAfter is the time after which a worker at which tasks run counts as silent. It is longer than maxReadGap, after
+	// which another connection is dialled, which an idle worker accepts.
+	silentAfter = maxReadGap + second
 	// maxConns is the maximum number of connections to one worker, without those for late completions.
 	maxConns = 4
 )
@@ -47,6 +50,9 @@
 	pendingResets map[string]bool     // requests whose offers were reset and whose ends are not reported yet
 	releases      unconfirmedReleases // unconfirmed releases of running tasks
 
+	heardAt  int64 // time at which data was last received or a connection was last established
+	isSilent bool  // nothing was heard for silentAfter while tasks run at the worker
+
 	lostUnnoticedAt int64 // latest time at which a connection ended that the worker may still consider open
 	openedAt        int64 // time at which a connection was last established, or last dialled for late completions
 	// crossedAt is the latest time at which this side ended a connection without reading it to its end, or 0 if a
@@ -173,6 +179,7 @@
 func (l *link) sweep(tasks dispatch.TaskSummary, now int64) {
 	l.releases.expire(now)
 	l.applyRestart()
+	l.logSilence(tasks, now)
 	if tasks.Count == 0 {
 		l.ensureConnected() // the descriptor budget may have prevented an earlier dial
 		l.closeUnassigned()
@@ -189,6 +196,23 @@
 	l.dialForLateCompletions(tasks, now)
 }
 
+// heard records that data was received from the worker, or that a connection to it was established.
+func (l *link) heard(now int64) {
+	if l.isSilent {
+		l.isSilent = false
+		l.pool.log.Warn("worker heard again", "worker", l.workerID, "quiet_us", now-l.heardAt)
+	}
+	l.heardAt = now
+}
+
+// logSilence logs once that a worker at which tasks run has not been heard for silentAfter.
+func (l *link) logSilence(tasks dispatch.TaskSummary, now int64) {
+	if tasks.Count > 0 && !l.isSilent && now-max(l.heardAt, l.listedAt) > silentAfter {
+		l.isSilent = true
+		l.pool.log.Warn("worker silent", "worker", l.workerID, "tasks", tasks.Count, "connections", len(l.conns), "quiet_us", now-l.heardAt)
+	}
+}
+
 // connClosed handles the end of a connection that did not end through workerConn.close. The connection is already
 // removed from the link.
 func (l *link) connClosed(err error) {
