Step the clock of child processes on arm64 too

Cause: the vDSO was hidden at arch_prctl, a call that exists on amd64 only; 158 is another call on arm64.

--- a/internal/testbed/syscallfault/clock.go
+++ b/internal/testbed/syscallfault/clock.go
@@ -1,7 +1,7 @@
 package syscallfault
 
 // This file steps the system clock of a child process. A process reads its clocks in the vDSO, without a system call. So
-// the vDSO is hidden from the child, which then uses clock_gettime(2). This works for programs in Go on amd64.
+// the vDSO is hidden from the child, which then uses clock_gettime(2). This works for programs in Go (see earlyCall).
 
 import (
 	"bytes"
@@ -16,10 +16,6 @@
 )
 
 const (
-	// archPrctl is the number of the system call arch_prctl on amd64. Each program calls it before the Go runtime looks
-	// for the vDSO.
-	archPrctl = 158
-
 	// Keys of the auxiliary vector (see getauxval(3)).
 	auxvIgnore = 1
 	auxvVDSO   = 33
--- a/internal/testbed/syscallfault/syscallfault.go
+++ b/internal/testbed/syscallfault/syscallfault.go
@@ -204,7 +204,7 @@
 		rules = append(rules, fmt.Sprint(unix.SYS_READ), fmt.Sprint(unix.SYS_WRITE))
 	}
 	if i.controlsClock {
-		rules = append(rules, fmt.Sprint(archPrctl), fmt.Sprintf("%d:%d", unix.SYS_CLOCK_GETTIME, unix.CLOCK_REALTIME))
+		rules = append(rules, fmt.Sprint(earlyCall), fmt.Sprintf("%d:%d", unix.SYS_CLOCK_GETTIME, unix.CLOCK_REALTIME))
 	}
 	slices.Sort(rules)
 	return strings.Join(slices.Compact(rules), ",")
@@ -213,7 +213,7 @@
 // decide decides on a call of a process.
 func (i *Injector) decide(process int, call notification) decision {
 	switch call.number {
-	case archPrctl:
+	case earlyCall:
 		hideVDSO(int(call.pid))
 	case unix.SYS_CLOCK_GETTIME:
 		return i.readClock(call)
