--- a/internal/clientfront/unconfirmed_test.go
+++ b/internal/clientfront/unconfirmed_test.go
@@ -146,3 +146,30 @@
 		t.Error("HasUndelivered: got true for a client that never confirms, want false")
 	}
 }
+
+// A completion is sent on one connection after the other, each of which is reset at once. However many these are, it is
+// sent again.
+func TestCompletionIsRepeatedAfterEachConnectionEnd(t *testing.T) {
+	front := startFront(t, 10)
+	const connectionEnds = 6
+	front.complete(1)
+	for range connectionEnds {
+		c := front.dial(t)
+		c.send(t, echo)
+		c.expect(t, finish(1, 16), echoed)
+		testbed.ResetConnection(c.conn)
+		front.waitClients(t, 0)
+	}
+	c := front.dial(t)
+	c.send(t, echo)
+	c.expect(t, finish(1, 16), echoed)
+}
+
+// A completion is sent on a connection whose client has vanished without a sign: nothing comes on it any more. The client
+// confirms nothing in general. The completion is sent on another connection too.
+func TestCompletionOnSilentConnectionIsRepeated(t *testing.T) {
+	front := startFront(t, 10)
+	clients, conns := taskClients(t, front)
+	front.completeOn(conns[0], 1)
+	clients[1].expect(t, finish(1, 16))
+}
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -13,7 +13,8 @@
 // like a network:
 //   - Data that a sender writes is held back and arrives once the partition heals. If the orchestrator resets the
 //     connection first, its data is discarded.
-//   - A reset by the orchestrator never reaches the worker, where the connection still looks open.
+//   - A reset by the orchestrator never reaches the worker, where the connection still looks open. Once the partition has
+//     healed, the first data that the worker writes on it is lost and answered with a reset.
 //   - A close or a reset by the worker reaches the orchestrator as a close once the partition heals.
 //   - No connection is established.
 
@@ -38,7 +39,8 @@
 	// stranded contains the orchestrator's side of each connection on which nothing is forwarded any more: it was open
 	// when Blackhole was called, or the orchestrator reset it during a partition.
 	stranded    map[net.Conn]bool
-	connections []net.Conn // both sides of each connection
+	halfOpen    map[net.Conn]bool // those of the stranded connections that the orchestrator reset during a partition
+	connections []net.Conn        // both sides of each connection
 }
 
 // NewProxy returns a proxy that forwards to a worker. The worker's list entries then have the
@@ -57,7 +59,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Proxy{listener: listener.(*net.TCPListener), target: target, attempts: attempts, stranded: map[net.Conn]bool{}}
+	p := &Proxy{listener: listener.(*net.TCPListener), target: target, attempts: attempts, stranded: map[net.Conn]bool{},
+		halfOpen: map[net.Conn]bool{}}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept()
 	t.Cleanup(p.close)
@@ -141,7 +144,7 @@
 	defer p.mu.Unlock()
 	for _, conn := range p.connections {
 		if isReset(conn) {
-			p.stranded[conn] = true
+			p.stranded[conn], p.halfOpen[conn] = true, true
 		}
 	}
 	receivePackets(t, p.listener)
@@ -167,6 +170,14 @@
 	}
 }
 
+// isHalfOpen reports whether only the worker still considers a connection open, because the orchestrator reset it during a
+// partition that has healed.
+func (p *Proxy) isHalfOpen(conn net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.halfOpen[conn]
+}
+
 // waitForwarding waits for the end of a partition. It then reports whether the proxy still forwards data of the
 // given connection.
 func (p *Proxy) waitForwarding(conn net.Conn) bool {
@@ -290,6 +301,9 @@
 		n, err := to.Read(buffer)
 		p.waitUnmuted()
 		if !p.waitForwarding(from) {
+			if p.isHalfOpen(from) {
+				ResetConnection(to)
+			}
 			return
 		}
 		if err != nil {
--- a/test/delivery/restart_checks_test.go
+++ b/test/delivery/restart_checks_test.go
@@ -11,19 +11,49 @@
 
 // This file checks that each task that has ended in a scenario of TestRestarts is reported.
 
-// forgetLostTasks marks the tasks that a crash of their worker has ended and that the orchestrator did not report before
+// forgetLostTasks marks the tasks that ended with a crash of their worker and that the orchestrator did not report before
 // it ended. Nothing can report them, and clients do not hand them over.
 func (s *restartScenario) forgetLostTasks() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, task := range s.tasks {
-		running := slices.Contains(s.attempts.Running(task.worker.Name), id)
-		if task.reportedAt.IsZero() && !running && !task.worker.WillReport(id) {
+		if task.crashed && task.reportedAt.IsZero() && !s.isHeld(id, task) {
 			task.gone = true
 		}
 	}
 }
 
+// isHeld reports whether the worker of a task runs it, or will report its end on the next connection.
+func (s *restartScenario) isHeld(id string, task *task) bool {
+	return slices.Contains(s.attempts.Running(task.worker.Name), id) || task.worker.WillReport(id)
+}
+
+// killedWithReport reports whether the orchestrator was killed before it had the time to pass the worker's report of a task on.
+// The caller holds mu.
+func (s *restartScenario) killedWithReport(id string) bool {
+	readAt := s.reportReadAt(id)
+	if readAt.IsZero() {
+		return false
+	}
+	i := slices.IndexFunc(s.ends, func(end processEnd) bool { return end.at.After(readAt) })
+	return i >= 0 && s.ends[i].killed && s.ends[i].at.Sub(readAt) < reportLimit+ruleSlack
+}
+
+// reportReadAt returns the time at which the orchestrator first read the end of a task, or the zero time.
+func (s *restartScenario) reportReadAt(id string) time.Time {
+	for _, line := range s.process.Lines() {
+		if strings.Contains(line, `msg="worker reported end"`) && strings.Contains(line, "request_id="+id) {
+			text, _, _ := strings.Cut(strings.TrimPrefix(line, "time="), " ")
+			at, err := time.Parse(time.RFC3339Nano, text)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			return at
+		}
+	}
+	return time.Time{}
+}
+
 // checkCalmEnds ends all running tasks. Without faults, each must be reported within reportLimit.
 func (s *restartScenario) checkCalmEnds() {
 	var ended []string
@@ -59,12 +89,12 @@
 // checkAllReported waits until the limit of each task that has ended, and expects that all are reported.
 func (s *restartScenario) checkAllReported() {
 	for {
-		left, due := s.unreported()
+		left, due, count := s.unreported()
 		if left == "" {
 			return
 		}
 		if wait := time.Until(due); wait <= 0 {
-			s.t.Errorf("seed %d: the end of task %s was not reported within %s", s.seed, left, endLimit)
+			s.t.Errorf("seed %d: %d ends of tasks were not reported within %s, the first of them of task %s", s.seed, count, endLimit, left)
 			s.mu.Lock()
 			s.printLines(left)
 			s.mu.Unlock()
@@ -74,15 +104,17 @@
 	}
 }
 
-// unreported returns the task whose report is due first, and when it is due; "" if there is none. A task whose reports
-// were all on a connection that broke at once does not count: its worker does not report it again.
-func (s *restartScenario) unreported() (first string, due time.Time) {
+// unreported returns the task whose report is due first, when it is due, and the number of such tasks; "" if there is none. A task whose reports
+// were all on a connection that broke at once does not count: its worker does not report it again. Nor does a task whose
+// report was read by a process that was killed at once.
+func (s *restartScenario) unreported() (first string, due time.Time, count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, task := range s.tasks {
-		if task.endedAt.IsZero() || !task.reportedAt.IsZero() || task.gone || task.worker.LostReports(id) {
+		if task.endedAt.IsZero() || !task.reportedAt.IsZero() || task.gone || task.worker.LostReports(id) || s.killedWithReport(id) {
 			continue
 		}
+		count++
 		since := task.endedAt
 		if task.handedOver.After(since) {
 			since = task.handedOver
@@ -91,7 +123,7 @@
 			first, due = id, limit
 		}
 	}
-	return first, due
+	return first, due, count
 }
 
 // printLines logs what the process logged of a request. The caller holds mu.
--- a/test/delivery/restart_client_test.go
+++ b/test/delivery/restart_client_test.go
@@ -11,8 +11,9 @@
 
 // This file owns the clients of TestRestarts: what they submit, cancel and hand over, and what they receive.
 
-// handOver submits the tasks that the client believes to run, on a connection without faults that ends once the
-// orchestrator has read them.
+// handOver submits the tasks that the client believes to run and whose workers hold them, on a connection without faults
+// that ends once the orchestrator has read them. It does not submit tasks whose end a worker has reported to the new process
+// already, so nothing but that report tells of them.
 func (s *restartScenario) handOver(address string) {
 	client, err := testbed.Dial(address)
 	if err != nil {
@@ -22,7 +23,7 @@
 	s.forgetLostTasks()
 	s.mu.Lock()
 	for id, task := range s.tasks {
-		if !task.reportedAt.IsZero() || task.gone {
+		if !task.reportedAt.IsZero() || task.gone || !s.isHeld(id, task) {
 			continue
 		}
 		line := testbed.StartLine(id, "guide-web", "k"+id, 0)
@@ -75,7 +76,7 @@
 			task.reportedAt = time.Now()
 			s.counts.reported++
 		}
-		if s.confirms {
+		if s.confirms.confirmsTag(line.Tag) {
 			testbed.Send(client, testbed.Line{Verb: "FINISHED", Tag: line.Tag, Opts: map[string]string{}})
 		}
 	}
--- a/test/delivery/restart_faults_test.go
+++ b/test/delivery/restart_faults_test.go
@@ -75,6 +75,9 @@
 			task.gone = !s.process.IsRunning() // nobody is left to learn of it
 		}
 	}
+	for _, task := range s.tasks {
+		task.crashed = task.crashed || task.worker == w && !task.endedAt.IsZero() && task.reportedAt.IsZero()
+	}
 	s.mu.Unlock()
 	s.sleep(down)
 	w.Recover()
--- a/test/delivery/restart_test.go
+++ b/test/delivery/restart_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -50,7 +51,29 @@
 	endedAt    time.Time // zero while it runs
 	handedOver time.Time // last time that it was handed over
 	reportedAt time.Time
-	gone       bool // it ended with its worker or its orchestrator while nothing could report it
+	crashed    bool // a crash of its worker ended it, or may have taken its reports along
+	gone       bool // it ended with its worker while nothing could report it
+}
+
+// processEnd is one end of the orchestrator.
+type processEnd struct {
+	at     time.Time
+	killed bool
+}
+
+// confirmationHabit states which completions the client of a scenario confirms.
+type confirmationHabit int
+
+const (
+	confirmsNone confirmationHabit = iota
+	confirmsAll
+	confirmsHalf // those of every other request
+)
+
+// confirmsTag reports whether the client confirms the completion of a request.
+func (h confirmationHabit) confirmsTag(requestID string) bool {
+	const evenDigits = "02468ace"
+	return h == confirmsAll || h == confirmsHalf && strings.Contains(evenDigits, requestID[len(requestID)-1:])
 }
 
 // restartScenario is one run of a seed.
@@ -63,7 +86,7 @@
 	workers  []*testbed.Worker
 	proxies  []*testbed.Proxy // paths to the workers
 	attempts *testbed.AttemptLog
-	confirms bool // the client confirms completions
+	confirms confirmationHabit
 	// calls changes the results of the orchestrator's system calls until the scenario is calm; nil if none are changed.
 	calls *syscallfault.Injector
 	// stepsClock is set if the orchestrator's system clock is stepped.
@@ -80,6 +103,7 @@
 	path   *testbed.Proxy
 	life   int // number of the current start
 	lastID int
+	ends   []processEnd
 	tasks  map[string]*task
 	counts struct{ requests, cancelled, started, adopted, reported, repeated int }
 }
@@ -126,21 +150,28 @@
 }
 
 func runRestarts(t *testing.T, binary, launcher string, seed uint64) {
-	s := &restartScenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 50)), attempts: testbed.NewAttemptLog(),
-		done: make(chan struct{}), calm: make(chan struct{}), discovery: testbed.NewDiscovery(t), tasks: map[string]*task{}}
-	s.confirms = s.random.IntN(3) > 0
+	s := newRestartScenario(t, seed)
+	s.confirms = []confirmationHabit{confirmsNone, confirmsAll, confirmsHalf}[s.random.IntN(3)]
 	s.startWorkers()
 	s.drawCallFaults(launcher)
 	s.configure(binary)
-	defer s.saveLog()
-	defer func() { // also if the scenario cannot go on
-		close(s.done)
-		s.faults.Wait()
-		s.group.Wait()
-	}()
+	defer s.finish()
 	s.run()
 }
 
+func newRestartScenario(t *testing.T, seed uint64) *restartScenario {
+	return &restartScenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 50)), attempts: testbed.NewAttemptLog(),
+		done: make(chan struct{}), calm: make(chan struct{}), discovery: testbed.NewDiscovery(t), tasks: map[string]*task{}}
+}
+
+// finish ends a scenario, also if it cannot go on.
+func (s *restartScenario) finish() {
+	close(s.done)
+	s.faults.Wait()
+	s.group.Wait()
+	s.saveLog()
+}
+
 func (s *restartScenario) startWorkers() {
 	var entries []string
 	for i := range workerCount {
@@ -241,7 +272,14 @@
 
 // stop ends the process by a kill or by SIGTERM. After SIGTERM it must end by itself before the kill.
 func (s *restartScenario) stop() {
-	if s.random.IntN(2) == 0 {
+	killed := s.random.IntN(2) == 0
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, at := s.process.Exit()
+		s.ends = append(s.ends, processEnd{at, killed})
+	}()
+	if killed {
 		s.process.End(syscall.SIGKILL)
 		return
 	}
@@ -250,6 +288,7 @@
 	case <-s.process.Ended():
 	case <-time.After(killAfter):
 		s.process.End(syscall.SIGKILL)
+		killed = true
 		s.t.Errorf("seed %d: the process had to be killed after SIGTERM", s.seed)
 	}
 }
