Take no reports of workers that a terminating process may not be able to pass on

Class of bug: a process goes on to accept what is owed after it has given up the means to deliver it.

Cause: the shutdown closed the listening socket at the first check at which nothing was owed, and went on if something was owed 50 ms later. Clients whose connections were reset could not come back, and the reports of workers, which it still read, ended with it. Running tasks and confirmations that never come gave it more to owe until the last moment.

Change: once no request is open, the process settles: it ends its connections to workers, which keep their reports for the next process, rejects requests, and listens until what it has read is delivered and 100 ms old. A completion is waited for on two connections at most. Then it stops to listen, and ends 50 ms later, 0.2 s later if something can't be delivered.

--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -1,7 +1,14 @@
 package main
 
-// This file owns the shutdown of the server. The server must never stop while an accepted request is open. Shortly
-// before the platform kills the process, the server therefore rejects or fails the requests that are still open.
+// This file owns the shutdown of the server. The server must never stop while an accepted request is open, nor take the
+// report of a worker that it can't pass on. A shutdown has three phases:
+//
+//   - The server drains: it serves as before, because requests still arrive, until no request is open.
+//   - It settles: it rejects requests, takes no more reports of workers, which keep them for the next process, and delivers
+//     what it has. Clients can still connect, because a completion may need a connection.
+//   - It stops to listen, and ends.
+//
+// Shortly before the platform kills the process, the server rejects or fails the requests that are still open, and settles.
 
 import (
 	"fmt"
@@ -34,7 +41,7 @@
 	// successor. The files may be on a slow disk.
 	maxSuccessorCheckUs = 100 * millisecond
 	// lastRequestsUs is the time for which the server still runs after it has stopped to listen. The first requests on
-	// the connections that it accepted last arrive in this time.
+	// the connections that it accepted last arrive in this time, and are rejected.
 	lastRequestsUs = 50 * millisecond
 	// drainIntervalUs is the interval at which a shutdown checks whether it can stop.
 	drainIntervalUs = 10 * millisecond
@@ -50,8 +57,7 @@
 	return max(lateRequestsUs, min(longest, maxDeadline)+killSlackUs-killMarginUs)
 }
 
-// Stop begins the shutdown, at the end of which Run returns. drain and drainInherited decide when the shutdown ends,
-// which is at the latest flushTimeoutUs after the drain timeout. Stop may be called from any goroutine and more than
+// Stop begins the shutdown, at the end of which Run returns, at the latest flushTimeoutUs after the drain timeout. Stop may be called from any goroutine and more than
 // once.
 func (s *server) Stop() {
 	s.loop.Post(func() {
@@ -96,32 +102,55 @@
 	s.drain(s.loop.Now())
 }
 
-// drain keeps the server running for lateRequestsUs, because requests still arrive in this time. As soon as no work is
-// unfinished, the calls over gRPC have ended and no connection waits in the kernel's accept queue, it stops to listen, and
-// lastRequestsUs later it stops the server, if the same still holds. A connection in the queue may carry a request, which a
-// stop would lose. At the drain timeout, shortly before the kill, drain ends all open requests and stops the server (see
-// rejectAndStop).
+// drain keeps the server running for lateRequestsUs, because requests still arrive in this time. As soon as no request is
+// open, the calls over gRPC have ended and no connection waits in the kernel's accept queue, it settles. A connection in the
+// queue may carry a request, which a stop would lose. At the drain timeout, shortly before the kill, it settles in any case.
 func (s *server) drain(since int64) {
 	switch age := s.loop.Now() - since; {
 	case age >= s.drainTimeout:
-		s.rejectAndStop(since, s.drainTimeout)
-	case age >= lateRequestsUs && !s.hasUnfinishedWork() && !s.loop.HasQueuedConnections() &&
-		s.grpcStopped(since+s.drainTimeout) && s.stopListening():
-		s.loop.Stop()
+		s.settle(since + s.drainTimeout)
+	case age >= lateRequestsUs && !s.hasOpenRequests() && !s.loop.HasQueuedConnections() && s.grpcStopped(since+s.drainTimeout):
+		s.settle(since + s.drainTimeout)
 	default:
 		s.loop.After(drainIntervalUs, func() { s.drain(since) })
 	}
 }
 
-// stopListening accepts the clients that wait and closes the listening socket for clients. It reports whether this was
-// done at least lastRequestsUs ago.
-func (s *server) stopListening() bool {
-	if s.unlistenedAt == 0 {
+// settle rejects or fails the open requests, including those that still arrive, and takes no more reports of workers. Once
+// nothing is left to deliver, it stops to listen, and lastRequestsUs later it stops the server. It stops the server at the
+// latest flushTimeoutUs after the drain timeout, and thus before the kill.
+func (s *server) settle(drainEnd int64) {
+	s.dispatcher.RejectAll(s.loop.Now())
+	s.pool.Retire()
+	isDelivered := s.grpcStopped(drainEnd) && s.unfinishedWork() == unfinishedWork{}
+	end := drainEnd + flushTimeoutUs
+	if isDelivered || s.loop.Now() >= end-lastRequestsUs {
+		s.stopListening()
+	}
+	if s.unlistenedAt > 0 && s.mayStop(isDelivered) || s.loop.Now() >= end {
+		s.loop.Stop()
+		return
+	}
+	s.loop.After(drainIntervalUs, func() { s.settle(drainEnd) })
+}
+
+// mayStop reports whether the server may stop after it has stopped to listen. What can't be delivered by then never will be,
+// because no client can connect.
+func (s *server) mayStop(isDelivered bool) bool {
+	age := s.loop.Now() - s.unlistenedAt
+	return isDelivered && age >= lastRequestsUs || age >= flushTimeoutUs
+}
+
+// stopListening accepts the clients that wait and closes the listening socket for clients.
+func (s *server) stopListening() {
+	if s.unlistenedAt > 0 {
+		return
+	}
+	if !s.inheritedListener {
 		s.loop.AcceptQueued()
 		s.loop.Unlisten(s.clientAddr)
-		s.unlistenedAt = s.loop.Now()
 	}
-	return s.loop.Now()-s.unlistenedAt >= lastRequestsUs
+	s.unlistenedAt = s.loop.Now()
 }
 
 // drainInherited drains a process whose listening socket is owned by the platform. If a successor serves on that
@@ -140,9 +169,9 @@
 	}
 	switch {
 	case age >= timeout:
-		s.rejectAndStop(since, timeout)
-	case s.hasSuccessor && age >= lateRequestsUs && !s.hasUnfinishedWork() && s.grpcStopped(since+timeout):
-		s.loop.Stop()
+		s.settle(since + timeout)
+	case s.hasSuccessor && age >= lateRequestsUs && !s.hasOpenRequests() && s.grpcStopped(since+timeout):
+		s.settle(since + timeout)
 	default:
 		s.loop.After(drainIntervalUs, func() { s.drainInherited(since) })
 	}
@@ -172,6 +201,7 @@
 		Undelivered: clientfront.Undelivered{
 			Unreported:      part(w.Unreported, other.Unreported),
 			Unconfirmed:     part(w.Unconfirmed, other.Unconfirmed),
+			InTransit:       part(w.InTransit, other.InTransit),
 			PartialMessages: part(w.PartialMessages, other.PartialMessages),
 			UnsentOutput:    part(w.UnsentOutput, other.UnsentOutput),
 		},
@@ -180,19 +210,8 @@
 	}
 }
 
-// hasUnfinishedWork reports whether a stop now would lose something.
-func (s *server) hasUnfinishedWork() bool { return s.unfinishedWork() != unfinishedWork{} }
-
-// rejectAndStop rejects or fails the open requests, including those that still arrive. It stops the server once the
-// client front has nothing left to deliver and does not listen any more, at the latest flushTimeoutUs after the drain
-// timeout and thus before the kill.
-func (s *server) rejectAndStop(since, timeout int64) {
-	s.dispatcher.RejectAll(s.loop.Now())
-	stopped := s.grpcStopped(since + timeout)
-	closed := s.inheritedListener || s.stopListening()
-	if stopped && closed && !s.clientFront.HasUndelivered() || s.loop.Now()-since >= timeout+flushTimeoutUs {
-		s.loop.Stop()
-		return
-	}
-	s.loop.After(drainIntervalUs, func() { s.rejectAndStop(since, timeout) })
+// hasOpenRequests reports whether a request is open, or a client has sent a message only in part.
+func (s *server) hasOpenRequests() bool {
+	work := s.unfinishedWork()
+	return work.OpenRequests > 0 || work.PartialMessages > 0
 }
--- a/internal/clientfront/conn.go
+++ b/internal/clientfront/conn.go
@@ -153,16 +153,17 @@
 	submission.ReceivedAtUs, submission.Connection = c.conn.EarliestArrival(), c.number
 	dispatcher := c.front.dispatcher
 	isKnown := dispatcher.IsRunning(submission.RequestID) || dispatcher.IsTerminating(submission.RequestID)
+	if submission.RunningOn == "" {
+		c.openRequests[submission.RequestID] = true // before Submit, which may respond at once
+	}
 	if err := dispatcher.Submit(now, c, submission); err != nil {
+		delete(c.openRequests, submission.RequestID)
 		return c.failMessage(message.Tag, err)
 	}
 	if submission.RunningOn != "" && !isKnown && dispatcher.IsRunning(submission.RequestID) {
 		c.front.tasks.add(submission.RequestID, c)
 	}
-	switch {
-	case submission.RunningOn == "":
-		c.openRequests[submission.RequestID] = true
-	case !isKnown && dispatcher.IsListed(submission.RunningOn):
+	if submission.RunningOn != "" && !isKnown && dispatcher.IsListed(submission.RunningOn) {
 		// This submission adopted the task. If the task had been known before, hasTask is not set, because the
 		// sender may not be the client of the task.
 		c.hasTask = true
--- a/internal/clientfront/unconfirmed.go
+++ b/internal/clientfront/unconfirmed.go
@@ -19,6 +19,11 @@
 	// confirm one, and within which the kernel is expected to accept it. It is half of the 1 s within which a client must
 	// be notified.
 	confirmationTimeout = 500 * millisecond
+	// deliveryTime is the time, in microseconds, within which a completion reaches its client unless the connection ends.
+	deliveryTime = 100 * millisecond
+	// maxAwaitedSends is the number of sends after which the confirmation of a completion is not expected any more. Clients
+	// need not confirm each completion.
+	maxAwaitedSends = 2
 	// closeCrossingTime is the time, in microseconds, for which a client may leave a completion unread before it closes
 	// its connection.
 	closeCrossingTime = 1 * second
@@ -141,7 +146,19 @@
 func (f *Front) awaitedConfirmations() (count int) {
 	now := f.loop.Now()
 	for _, sent := range f.unconfirmed {
-		if sent.client.confirms && now-sent.sentAt <= confirmationTimeout {
+		if sent.client.confirms && sent.sendCount <= maxAwaitedSends && now-sent.sentAt <= confirmationTimeout {
+			count++
+		}
+	}
+	return count
+}
+
+// completionsInTransit returns the number of unconfirmed completions that may not have reached their clients yet. They are
+// sent again if their connections end now.
+func (f *Front) completionsInTransit() (count int) {
+	now := f.loop.Now()
+	for _, sent := range f.unconfirmed {
+		if now-sent.sentAt <= deliveryTime {
 			count++
 		}
 	}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -97,9 +97,10 @@
 }
 
 // RejectAll rejects all open requests, or fails those whose retry could do harm, and discards the events that are
-// queued for the scheduler. It is called when the program shuts down.
+// queued for the scheduler. Requests that are submitted later are rejected at once. RejectAll is called when the program
+// shuts down.
 func (d *Dispatcher) RejectAll(now int64) {
-	d.now = now
+	d.now, d.rejectsAll = now, true
 	for _, r := range d.sorted() {
 		if r.state.isOpen() {
 			d.rejectOpen(r)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -68,6 +68,7 @@
 	listed        map[string]bool
 	drainingSince map[string]int64 // time since which a worker counts as draining or removed, by worker
 	hasList       bool             // a list was received
+	rejectsAll    bool             // RejectAll was called
 	confirmList   bool             // the scheduler has requested the list or its changes, and Turn has to answer
 
 	// Data for the backpressure reports to the advisor and the scheduler (backpressure.go).
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -42,6 +42,9 @@
 	} else {
 		r.await(submitter{client, s.RequestID})
 		d.enqueue(r)
+		if d.rejectsAll {
+			d.rejectOpen(r)
+		}
 	}
 	return nil
 }
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -166,3 +166,18 @@
 	}
 	h.advance(10 * millisecond)
 }
+
+// A request that is submitted after RejectAll is rejected at once, and no offer is made of it.
+func TestSubmitAfterRejectAll(t *testing.T) {
+	h := newHarness(t)
+	h.updateWorkers(placement.ListFull, placement.Ready, "a")
+	h.RejectAll(h.now)
+	h.mustSubmit("late", "cut", "k", 5000)
+	if kind, ok := h.finalResponses["late"]; !ok || kind != Rejected {
+		t.Errorf("got response %v (any: %v), want a rejection", kind, ok)
+	}
+	h.advance(10 * millisecond)
+	if len(h.offers) > 0 || h.OpenCount() > 0 {
+		t.Errorf("got offers %v and %d open requests, want none", h.offers, h.OpenCount())
+	}
+}
--- a/internal/workerpool/end_reasons.go
+++ b/internal/workerpool/end_reasons.go
@@ -21,6 +21,7 @@
 	errUnlisted       = errors.New("the worker is no longer listed")
 	errSuperseded     = errors.New("replaced by a newer connection")
 	errIdle           = errors.New("the connection is idle")
+	errRetired        = errors.New("the process ends")
 	errTooManyConns   = fmt.Errorf("more than %d connections to one worker", maxConns)
 )
 
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -64,7 +64,7 @@
 // dialForLateCompletions dials a connection for late completions if the completion of one of the given tasks may be
 // late. It does nothing if too few descriptors are free or if the newest connection of the link is not up.
 func (l *link) dialForLateCompletions(tasks dispatch.TaskSummary, now int64) {
-	if !l.expectsLateCompletions(tasks, now) || l.pool.loop.FreeDescriptors() < lateCompletionMinDescriptors {
+	if l.pool.retired || !l.expectsLateCompletions(tasks, now) || l.pool.loop.FreeDescriptors() < lateCompletionMinDescriptors {
 		return
 	}
 	if count := len(l.conns); count == 0 || !l.conns[count-1].conn.IsUp() {
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -150,22 +150,22 @@
 	}
 }
 
-// needsDial reports whether the worker is listed, has no connection and no redial is scheduled.
+// needsDial reports whether the worker is listed and may be dialled, has no connection and no redial is scheduled.
 func (l *link) needsDial() bool {
-	return l.listed && len(l.conns) == 0 && !l.redialTimer.Pending()
+	return l.listed && l.mayDial() && len(l.conns) == 0 && !l.redialTimer.Pending()
 }
 
 // scheduleRedial schedules a dial after a backoff that doubles with each redial, up to maxRedialBackoff. It does
 // nothing if the worker is not listed or a redial is already scheduled. When the backoff is over, the dial is skipped
-// if the worker is no longer listed, is not assigned to this orchestrator or has a connection, or if the descriptor
-// budget allows no dial.
+// if the worker is no longer listed, is not assigned to this orchestrator or has a connection, if the pool is retired, or if
+// the descriptor budget allows no dial.
 func (l *link) scheduleRedial() {
 	if !l.listed || l.redialTimer.Pending() {
 		return
 	}
 	l.redialBackoff = min(maxRedialBackoff, max(minRedialBackoff, l.redialBackoff*2))
 	l.redialTimer = l.pool.loop.After(l.redialBackoff, func() {
-		if l.assigned && l.listed && len(l.conns) == 0 && l.pool.budget.AdmitsWorker() {
+		if l.assigned && l.listed && l.mayDial() && len(l.conns) == 0 && l.pool.budget.AdmitsWorker() {
 			l.dial()
 		}
 	})
@@ -186,7 +186,7 @@
 		return
 	}
 	l.requireConnected()
-	if len(l.conns) == 0 || len(l.conns) >= maxConns {
+	if len(l.conns) == 0 || len(l.conns) >= maxConns || !l.mayDial() {
 		return
 	}
 	newest := l.conns[len(l.conns)-1]
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -51,6 +51,7 @@
 	offersSent     int64                    // number of offers that were sent completely and are no longer open
 	pendingReports []func()                 // called by DeliverPending; each reports an outcome to the dispatcher
 	delayedOffers  []delayedOffer           // offers that wait until the connections of their clients have been read
+	retired        bool                     // Retire was called
 	budget         *descriptors.Budget      // nil if ShareDescriptors was not called
 	idle           idleConns
 	counts         Counts
