Report the ends of tasks that came while no process of their orchestrator ran

Class of bug: a message that is owed to a client is kept for an event that need not come.

Cause: the worker reports such an end to the next process, which does not know the task. It kept the report until a client hands the task over. Clients hand over what workers hold, and the worker no longer holds it.

Change: a report on an unknown task within 12 s of the first list of workers is passed on to any client after 0.3 s, unless it is claimed before, this process has offered the request itself, or the task was cancelled, whose end is owed to nobody. Tasks that are handed over count as offered, so that repeats of their ends are known.

--- a/cmd/ravenhitch/server.go
+++ b/cmd/ravenhitch/server.go
@@ -172,6 +172,7 @@
 func (s *server) createClientFront(cfg config.Config, operators config.OperatorSettings, budget int) {
 	s.clientFront = clientfront.NewFront(s.loop, s.dispatcher, budget*3/4, cfg.ConnIdleUs, s.log)
 	s.clientFront.SetTraceSuffixes(operators.Trace)
+	s.dispatcher.SetEarlierClients(s.clientFront)
 	shared := descriptors.New(budget, s.clientFront.MaxConnections(), s.loop.FreeDescriptors, s.clientFront.Connections)
 	s.clientFront.ShareDescriptors(shared)
 	s.pool.ShareDescriptors(shared)
--- a/internal/clientfront/unreported.go
+++ b/internal/clientfront/unreported.go
@@ -1,5 +1,10 @@
 package clientfront
 
+import (
+	"ravenhitch/internal/dispatch"
+	"ravenhitch/internal/jsonlines"
+)
+
 // This file owns the choice of the connection on which a completion is reported, and the completions that cannot be
 // reported yet. Any program may connect, so an open connection does not show that a client is present. On a
 // connection without a task, completions may therefore be reported in two cases only: when a ping arrives, which
@@ -24,12 +29,19 @@
 	sendCount int    // number of connections on which the completion was sent
 }
 
+// Respond implements dispatch.Client for the completions of tasks that clients of an earlier process believe to run. It
+// reports them on any connection.
+func (f *Front) Respond(response dispatch.Response) {
+	message := encodeResponse(response)
+	f.reportCompletion(nil, completion{requestID: response.RequestID, line: jsonlines.Append(nil, &message)})
+}
+
 // reportCompletion sends a completion to the client of a request. It uses the connection of the request or, if that
-// connection is closed, the best other connection that had a task. If no open connection had a task, the completion
-// is stored, unless maxUnreported completions are stored already.
+// connection is closed or origin is nil, the best other connection that had a task. If no open connection had a task, the
+// completion is stored, unless maxUnreported completions are stored already.
 func (f *Front) reportCompletion(origin *clientConn, report completion) {
 	target := origin
-	if !origin.conn.IsUp() {
+	if origin == nil || !origin.conn.IsUp() {
 		target = f.bestConn(usageTask, origin)
 	}
 	if target != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,7 +55,9 @@
 	tasksByWorker runningTasks
 	history       offerHistory
 	unclaimed     unclaimedCompletions
-	responses     responseCache
+	// earlierClients gets the completions of tasks that clients of an earlier process believe to run; nil if nobody does.
+	earlierClients Client
+	responses      responseCache
 
 	// Deadlines, timers, and the pacing of responses.
 	deadlines   deadlineHeap
@@ -68,6 +70,7 @@
 	listed        map[string]bool
 	drainingSince map[string]int64 // time since which a worker counts as draining or removed, by worker
 	hasList       bool             // a list was received
+	firstListAt   int64            // time at which the first list was received, in microseconds
 	rejectsAll    bool             // RejectAll was called
 	confirmList   bool             // the scheduler has requested the list or its changes, and Turn has to answer
 
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -32,6 +32,7 @@
 	if len(d.timers) > 0 {
 		consider(d.timers[0].at)
 	}
+	consider(d.unclaimed.nextInheritedAt())
 	if len(d.events) > 0 {
 		consider(d.now)
 	}
@@ -49,6 +50,7 @@
 		timer := heap.Pop(&d.timers).(schedulerTimer)
 		d.queueEvent(placement.TimerFired{Ref: timer.ref})
 	}
+	d.passOnInherited()
 	if now >= d.nextSweepAt {
 		d.nextSweepAt = now + sweepInterval
 		d.sweep()
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -77,3 +77,76 @@
 		t.Errorf("%d completions older than unclaimedRetention are left, want 0", len(unclaimed.byTask)-1)
 	}
 }
+
+// earlierClient records the completions of tasks of an earlier process.
+type earlierClient struct{ received []Response }
+
+// Respond implements Client.
+func (c *earlierClient) Respond(response Response) { c.received = append(c.received, response) }
+
+// Guards against the end of a task that is reported to nobody, because it came while no process of its orchestrator ran, and
+// nobody submits the task to the next one. The report is passed on once, unless the task is submitted first.
+func TestCompletionOfEarlierProcessIsPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome  placement.Outcome
+		after    int64 // time from the first list to the report
+		prepare  func(h *harness)
+		passedOn bool
+	}{
+		"completed":            {outcome: placement.Completed, passedOn: true},
+		"reset":                {outcome: placement.Reset, after: inheritedTime, passedOn: true},
+		"cancelled":            {outcome: placement.Cancelled},
+		"failed":               {outcome: placement.Failed},
+		"long after the start": {outcome: placement.Completed, after: inheritedTime + 1},
+		"repeat of this process": {outcome: placement.Completed, prepare: func(h *harness) {
+			h.mustStart("t1", 5000)
+			h.endAttempt("t1", placement.Completed)
+		}},
+		"repeat of an adopted task": {outcome: placement.Completed, prepare: func(h *harness) {
+			h.adopt("t1", "a")
+			h.endAttempt("t1", placement.Completed)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, earlier := newHarness(t), &earlierClient{}
+			h.SetEarlierClients(earlier)
+			h.updateWorkers(placement.ListFull, placement.Ready, "a")
+			if c.prepare != nil {
+				c.prepare(h)
+			}
+			h.now = max(h.now, h.firstListAt+c.after)
+			for range 2 {
+				h.EndReported(h.now, "a", "t1", c.outcome, 0)
+			}
+			h.advance(claimTimeout - 1)
+			if len(earlier.received) > 0 {
+				t.Errorf("got %v before claimTimeout, want no response", earlier.received)
+			}
+			h.advance(1)
+			want := 0
+			if c.passedOn {
+				want = 1
+			}
+			if got := earlier.received; len(got) != want || want > 0 && (got[0].Kind != Completed || got[0].Outcome != c.outcome) {
+				t.Errorf("got %v, want %d completions", got, want)
+			}
+		})
+	}
+}
+
+// A task whose end is known is submitted as running, before the end is passed on or after it. Its client gets the
+// completion, and before that nobody else does.
+func TestPassedOnCompletionCanBeClaimed(t *testing.T) {
+	for _, passedOn := range []int{0, 1} {
+		h, earlier := newHarness(t), &earlierClient{}
+		h.SetEarlierClients(earlier)
+		h.updateWorkers(placement.ListFull, placement.Ready, "a")
+		h.EndReported(h.now, "a", "t1", placement.Completed, 0)
+		h.advance(int64(passedOn) * claimTimeout)
+		h.adopt("t1", "a")
+		h.advance(2 * claimTimeout)
+		if h.completions() != "t1 " || len(earlier.received) != passedOn {
+			t.Errorf("got completions %q and %d passed on, want that of t1 and %d", h.completions(), len(earlier.received), passedOn)
+		}
+	}
+}
--- a/internal/dispatch/workerlist.go
+++ b/internal/dispatch/workerlist.go
@@ -8,7 +8,9 @@
 // UpdateWorkers applies a list of workers from discovery, complete or with changes only.
 func (d *Dispatcher) UpdateWorkers(now int64, list placement.WorkerList) {
 	d.now = now
-	d.hasList = true
+	if !d.hasList {
+		d.hasList, d.firstListAt = true, d.now
+	}
 	if isCompleteList(list) {
 		// Workers that a complete list does not name count as draining from now on. The loop sets this time for
 		// all listed workers, including those that are already draining; updateListed deletes it again for the
