Hear of an end within a second after a connection that only the worker considers open

Class of bug: a bound of the protocol (1 s) met with the interval of another (8 s).

Cause: the abort never reaches a worker that is cut off. It sends its next report on that connection and loses it; it repeats it on the next connection that is opened. This side opened one every 3 s, and tried to connect every 2 s after a cut.

A close that the worker answers with its own no longer counts as unnoticed, which would dial for nothing.

--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -52,8 +52,9 @@
 
 	forLateCompletions bool // see lateCompletionConn
 
-	lingering   bool             // this side has closed its direction and still receives
-	lingerTimer *eventloop.Timer // ends the lingering
+	lingering     bool             // this side has closed its direction and still receives
+	lingerTimer   *eventloop.Timer // ends the lingering
+	lostUnnoticed bool             // the connection ended, and the worker may not notice
 }
 
 // trace logs one step of a request that happened on this connection.
@@ -160,7 +161,7 @@
 	l, pool := c.link, c.link.pool
 	c.partialTimer.Stop()
 	c.confirmCancelsByClose()
-	if c.established && c.endUnnoticed(err) {
+	if c.lostUnnoticed = c.established && c.endUnnoticed(err); c.lostUnnoticed && !c.lingering {
 		l.lostUnnoticedAt = pool.loop.Now()
 	}
 	before := len(l.conns)
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -6,7 +6,8 @@
 // connection open, and otherwise on any open connection. It repeats the report on the next connection that is opened.
 // In three cases the worker sends a completion on a connection that has already ended on this side, and the completion
 // arrives only on a connection opened later:
-//   - The connection ended and the worker has not noticed. Any completion may be late.
+//   - The connection ended and the worker has not noticed. Each completion may be late until it has. Its operating system
+//     answers what the worker sends on that connection with an error, so that the first message is lost.
 //   - This side ended the connection without reading it to its end, and the worker noticed shortly afterwards. The
 //     completions that the worker sent in between are late. One more connection suffices to receive them, if it is
 //     opened after crossingTime.
@@ -21,9 +22,12 @@
 
 const (
 	// lateCompletionInterval is the minimum time from the opening of a connection to the next dial for late
-	// completions, if a worker may still consider an ended connection open. It is short because a completion must be
-	// reported to the client within 8 s of the end of the task.
+	// completions, if a worker may still consider a connection of an earlier process open. It is short because a
+	// completion must be reported to the client within 8 s of the end of the task.
 	lateCompletionInterval = maxReadGap
+	// unnoticedInterval replaces lateCompletionInterval if a worker may still consider a connection of this process open.
+	// The client must be notified within 1 s of the worker's report.
+	unnoticedInterval = 700 * millisecond
 	// crossingTime is the time within which a worker is assumed to notice that a connection has ended: the end is in
 	// transit, and the worker's process reads it. It is short because a completion must be reported to the client
 	// within 1 s of the worker's report.
@@ -46,19 +50,26 @@
 func (l *link) crossed() {
 	loop := l.pool.loop
 	l.crossedAt = loop.Now()
-	loop.After(crossingTime, func() {
-		if l.pool.links[l.workerID] == l {
-			l.dialForLateCompletions(l.pool.dispatcher.TasksOn(l.workerID), loop.Now())
-		}
-	})
+	loop.After(crossingTime, l.checkLateCompletions)
 }
 
-// opened records that a connection that was dialled at the time dialledAt is established now.
+// opened records that a connection that was dialled at the time dialledAt is established now. If the worker may still
+// consider an ended connection open, opened schedules the next connection for late completions.
 func (l *link) opened(dialledAt int64) {
 	l.openedAt = l.pool.loop.Now()
 	if dialledAt >= l.crossedAt+crossingTime {
 		l.crossedAt = 0
 	}
+	if l.lostUnnoticedAt > 0 {
+		l.pool.loop.After(unnoticedInterval, l.checkLateCompletions)
+	}
+}
+
+// checkLateCompletions dials a connection for late completions if one is due.
+func (l *link) checkLateCompletions() {
+	if l.pool.links[l.workerID] == l {
+		l.dialForLateCompletions(l.pool.dispatcher.TasksOn(l.workerID), l.pool.loop.Now())
+	}
 }
 
 // dialForLateCompletions dials a connection for late completions if the completion of one of the given tasks may be
@@ -88,8 +99,9 @@
 
 // expectsLateCompletions reports whether a connection for the late completions of the given tasks is due. This is the
 // case if, since the first of them was offered, this side ended a connection at least crossingTime ago, and none was
-// opened for what crossed that end. It is also the case if a connection ended without the worker noticing, or an earlier
-// process may have had one, and none was opened within lateCompletionInterval.
+// opened for what crossed that end. It is also the case if a connection ended without the worker noticing and none was
+// opened within unnoticedInterval, or if an earlier process may have had one and none was opened within
+// lateCompletionInterval.
 func (l *link) expectsLateCompletions(tasks dispatch.TaskSummary, now int64) bool {
 	if tasks.Count == 0 {
 		return false
@@ -99,7 +111,8 @@
 	}
 	inherited := tasks.OldestSentAt == 0 && now-l.listedAt < inheritedTime
 	lostUnnoticed := tasks.OldestSentAt < l.lostUnnoticedAt
-	return (inherited || lostUnnoticed) && now-l.openedAt >= lateCompletionInterval
+	age := now - l.openedAt
+	return inherited && age >= lateCompletionInterval || lostUnnoticed && age >= unnoticedInterval
 }
 
 // Opened implements eventloop.Handler.
--- a/internal/workerpool/linger.go
+++ b/internal/workerpool/linger.go
@@ -32,7 +32,12 @@
 		return
 	}
 	c.lingering = true
-	c.lingerTimer = loop.After(lingerTimeout, func() { c.closeAfterRead(c.conn.Close) })
+	c.lingerTimer = loop.After(lingerTimeout, func() {
+		if c.lostUnnoticed {
+			c.link.lostUnnoticedAt = loop.Now() // a worker that notices the end closes its direction
+		}
+		c.closeAfterRead(c.conn.Close)
+	})
 }
 
 // abort resets the connection after it has taken what was received on it.
--- a/internal/workerpool/linger_test.go
+++ b/internal/workerpool/linger_test.go
@@ -204,3 +204,45 @@
 	})
 	ct.waitFor("the close", func() bool { return c.conn.IsClosed() })
 }
+
+// After a connection ended without the worker noticing, a connection for late completions is due within the second in which
+// a client must be notified, again and again.
+func TestConnectionAfterUnnoticedLoss(t *testing.T) {
+	lt := newLinkTest(t)
+	l := lt.listWorker()
+	lt.adopt(runningTask)
+	tasks, at := lt.dispatcher.TasksOn(workerName), lt.loop.Now()
+	l.listedAt -= inheritedTime
+	l.lostUnnoticedAt, l.openedAt = at, at
+	for _, test := range []struct {
+		after int64
+		want  bool
+	}{{unnoticedInterval - 1, false}, {unnoticedInterval, true}, {second, true}} {
+		if got := l.expectsLateCompletions(tasks, at+test.after); got != test.want {
+			t.Errorf("%d us after a connection was opened: a connection for late completions is due: %v, want %v", test.after, got, test.want)
+		}
+	}
+}
+
+// This side closes a connection on which nothing came for a while. Unless the worker closes its side too, it may not have
+// noticed.
+func TestWorkerClosesAfterNoticingEnd(t *testing.T) {
+	for _, closes := range []bool{true, false} {
+		ct := newCompletionTest(t)
+		var c *workerConn
+		onLoop(ct.loop, func() {
+			c = ct.link.conns[0]
+			c.lastReadAt -= staleAfter + 1
+			c.close(errSuperseded)
+		})
+		if closes {
+			testbed.CloseQuietly(ct.worker)
+		}
+		ct.waitFor("the end of the connection", func() bool { return c.conn.IsClosed() })
+		onLoop(ct.loop, func() {
+			if noticed := ct.link.lostUnnoticedAt == 0; noticed != closes {
+				t.Errorf("the worker closes: %v; counted as noticed: %v", closes, noticed)
+			}
+		})
+	}
+}
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -17,6 +17,9 @@
 const (
 	minRedialBackoff = 100 * millisecond
 	maxRedialBackoff = 2 * second
+	// maxRedialBackoffWithTasks replaces maxRedialBackoff while tasks run at the worker. Their completions can only arrive on a
+	// new connection, and must be reported to the client within 1 s of the worker's report.
+	maxRedialBackoffWithTasks = 500 * millisecond
 	// silentAfter is the time after which a worker at which tasks run counts as silent. It is longer than maxReadGap, after
 	// which another connection is dialled, which an idle worker accepts.
 	silentAfter = maxReadGap + second
@@ -155,7 +158,7 @@
 	return l.listed && l.mayDial() && len(l.conns) == 0 && !l.redialTimer.Pending()
 }
 
-// scheduleRedial schedules a dial after a backoff that doubles with each redial, up to maxRedialBackoff. It does
+// scheduleRedial schedules a dial after a backoff that doubles with each redial, up to a maximum. It does
 // nothing if the worker is not listed or a redial is already scheduled. When the backoff is over, the dial is skipped
 // if the worker is no longer listed, is not assigned to this orchestrator or has a connection, if the pool is retired, or if
 // the descriptor budget allows no dial.
@@ -163,7 +166,11 @@
 	if !l.listed || l.redialTimer.Pending() {
 		return
 	}
-	l.redialBackoff = min(maxRedialBackoff, max(minRedialBackoff, l.redialBackoff*2))
+	longest := maxRedialBackoff
+	if l.pool.dispatcher.HasTasksOn(l.workerID) {
+		longest = maxRedialBackoffWithTasks
+	}
+	l.redialBackoff = min(longest, max(minRedialBackoff, l.redialBackoff*2))
 	l.redialTimer = l.pool.loop.After(l.redialBackoff, func() {
 		if l.assigned && l.listed && l.mayDial() && len(l.conns) == 0 && l.pool.budget.AdmitsWorker() {
 			l.dial()
