Send a release also while another connection to its worker is dialled

Callers would see: a task that was released runs on. Seen in a test only.

Cause: a release was sent on the newest connection if that was up, and otherwise on the next one that comes up. If the newest one was being dialled and never came up, and an older one was up, nothing sent it again once no task ran at the worker.

Change: it is sent on the newest connection that is up, and still on each one that comes up until it is confirmed.

Result: TestReleaseIsSentWhileConnectionIsDialled fails without the change (nothing received), and passes.

--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -87,6 +87,16 @@
 	return nil
 }
 
+// newestUp returns the newest connection that is up, or nil.
+func (l *link) newestUp() *workerConn {
+	for _, c := range slices.Backward(l.conns) {
+		if c.conn.IsUp() {
+			return c
+		}
+	}
+	return nil
+}
+
 // connForSending returns the connection for new messages, dialling one if needed or if the number of the present one is
 // not above the given one. The connection may not be established yet. connForSending returns nil if no connection could be
 // dialled.
--- a/internal/workerpool/release.go
+++ b/internal/workerpool/release.go
@@ -46,7 +46,8 @@
 	if len(l.releases) < maxUnconfirmedReleases {
 		l.releases[requestID] = p.loop.Now()
 	}
-	if c := l.connForSending(anyConnection); c != nil && c.conn.IsUp() { // otherwise resendReleases sends it later, if recorded
+	l.connForSending(anyConnection) // dials if needed; resendReleases sends the release on a connection that comes up later
+	if c := l.newestUp(); c != nil {
 		c.sendFinish(requestID)
 	}
 }
--- a/internal/workerpool/release_test.go
+++ b/internal/workerpool/release_test.go
@@ -61,3 +61,22 @@
 		}
 	}
 }
+
+// A worker is silent, and another connection to it is being dialled, which may never come up. A release is sent on the
+// connection that is up. It guards against a task that runs on because its release waits for a connection that nobody opens.
+func TestReleaseIsSentWhileConnectionIsDialled(t *testing.T) {
+	lt := newLinkTest(t)
+	l := lt.listWorker()
+	lt.runUntil(func() bool { return l.conns[0].conn.IsUp() })
+	worker := bufio.NewReader(nettest.Accept(t, lt.listener))
+	l.dial()
+	lt.pool.Release(workerName, requestID)
+	l.conns[0].conn.Flush()
+	line, err := worker.ReadString('\n')
+	if err != nil || !strings.Contains(line, `"verb":"FINISH","tag":"`+requestID+`"`) {
+		t.Errorf("the worker received %q, error %v; want the release", line, err)
+	}
+	if len(l.conns) != 2 {
+		t.Errorf("%d connections, want the one that is up and the one that is dialled", len(l.conns))
+	}
+}
