End the tasks of a worker that has been silent for 7 s and can't be reached

Class of bug: an end that depends on news from outside, without a limit of time.

Cause: a task ended when its worker said so, refused connections, restarted or left the list. A machine that vanishes does none of these; discovery may be seconds late or away itself. The protocol allows 8 s from the end, heard of or not.

Evidence: TestTaskOfVanishedWorkerIsEnded: never reported.

Change: if nothing was heard from a worker for 7 s and three connections in a row were not answered, the tasks that ran there then are released and reported to their clients. A worker whose process hangs accepts connections, so it is not concerned. A machine that is cut off looks the same: its tasks end when it can be reached, unless their clients hand them over before, which withdraws the release.

--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -181,6 +181,9 @@
 // Release implements WorkerPool.
 func (h *harness) Release(string, string) {}
 
+// CancelRelease implements WorkerPool.
+func (h *harness) CancelRelease(string, string) {}
+
 // Probe implements WorkerPool.
 func (h *harness) Probe(string) {}
 
--- a/internal/dispatch/tasks_test.go
+++ b/internal/dispatch/tasks_test.go
@@ -50,3 +50,19 @@
 		t.Errorf("tasks on worker a: %d, want 2: the running tasks \"justbefore\" and \"after\"", h.TasksOn("a").Count)
 	}
 }
+
+// The tasks that ran at a worker when it was heard last are released and end with its silence. Those that were handed over
+// later, or are released already, are not touched.
+func TestWorkerVanished(t *testing.T) {
+	h := newHarness(t)
+	h.updateWorkers(placement.ListFull, placement.Ready, "a")
+	h.adopt("adopted", "a")
+	h.mustStart("offered", 5000)
+	since := h.now
+	h.advance(millisecond)
+	h.adopt("later", "a")
+	h.WorkerVanished(h.now, "a", since)
+	if h.completions() != "adopted offered " || !h.IsRunning("later") {
+		t.Errorf("got completions %q, later is running: %v; want those of adopted and offered, and true", h.completions(), h.IsRunning("later"))
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -35,6 +35,24 @@
 	d.endTasksOn(worker, func(*request) bool { return true })
 }
 
+// WorkerVanished handles the report that nothing has been heard from a worker since the time since, and that no connection to
+// it comes up. Its machine may have vanished, with the tasks that ran there, or is cut off. The tasks that ran there at that
+// time are released and count as ended, because their clients must not wait for an end that nobody may ever report.
+func (d *Dispatcher) WorkerVanished(now int64, worker string, since int64) {
+	d.now = now
+	var silent []*request
+	for _, r := range d.tasksByWorker[worker] {
+		if r.state == stateRunning && max(r.sentAt, r.adoptedAt) <= since {
+			silent = append(silent, r)
+		}
+	}
+	for _, r := range sortByRequestID(silent) {
+		d.log.Info("task ended with silent worker", "request_id", r.RequestID, "worker", worker)
+		d.workers.Release(worker, r.RequestID)
+		d.taskCompleted(r, placement.Reset, placement.CauseUnknown)
+	}
+}
+
 // WorkerRestarted handles the report that the process of a worker started at startUs and that its previous
 // process has ended. The tasks of the previous process have ended too, and nobody will report their completions.
 func (d *Dispatcher) WorkerRestarted(now int64, worker string, startUs int64) {
--- a/internal/dispatch/worker_pool.go
+++ b/internal/dispatch/worker_pool.go
@@ -35,6 +35,8 @@
 	CancelAttempt(worker, requestID string, mayRetry bool) CancelState
 	// Release requests a worker to end a running task.
 	Release(worker, requestID string)
+	// CancelRelease withdraws the release of a task that its client wants to run on, unless the worker has received it.
+	CancelRelease(worker, requestID string)
 	// Probe asks a worker to respond. ProbeAnswered receives the result.
 	Probe(worker string)
 }
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -232,6 +232,9 @@
 		c.link.pool.log.Warn("worker connection closed", "worker", c.link.workerID, "connection", c.number,
 			"open_offers", open, "err", err)
 	}
+	if !c.established && isUnanswered(err) {
+		c.link.failedDials++
+	}
 	c.detach(err)
 	switch l := c.link; {
 	case c.established && !errors.Is(err, eventloop.ErrEOF):
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -53,6 +53,8 @@
 	pendingResets map[string]bool     // requests whose offers were reset and whose ends are not reported yet
 	releases      unconfirmedReleases // unconfirmed releases of running tasks
 
+	failedDials int // connections in a row that were not established because nothing answered
+
 	heardAt  int64 // time at which data was last received or a connection was last established
 	isSilent bool  // nothing was heard for silentAfter while tasks run at the worker
 
@@ -202,6 +204,7 @@
 		l.closeUnassigned()
 		return
 	}
+	l.reportVanished(now)
 	l.requireConnected()
 	if len(l.conns) == 0 || len(l.conns) >= maxConns || !l.mayDial() {
 		return
@@ -219,7 +222,7 @@
 		l.isSilent = false
 		l.pool.log.Warn("worker heard again", "worker", l.workerID, "quiet_us", now-l.heardAt)
 	}
-	l.heardAt = now
+	l.heardAt, l.failedDials = now, 0
 }
 
 // logSilence logs once that a worker at which tasks run has not been heard for silentAfter.
--- a/internal/workerpool/release.go
+++ b/internal/workerpool/release.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// CancelRelease implements dispatch.WorkerPool.
+func (p *Pool) CancelRelease(worker, requestID string) {
+	if l := p.links[worker]; l != nil {
+		delete(l.releases, requestID)
+	}
+}
+
 // HasUnconfirmedReleases reports whether any worker has an unconfirmed release.
 func (p *Pool) HasUnconfirmedReleases() bool {
 	for _, l := range p.links {
--- a/test/delivery/cut_test.go
+++ b/test/delivery/cut_test.go
@@ -125,10 +125,15 @@
 	}
 }
 
-// A machine vanishes: its connections stay open and silent, and new ones never come up. Discovery lists it on.
+// A machine vanishes: its connections stay open and silent, and new ones never come up. Discovery lists it on. If it was only
+// cut off, the task is ended there too once it can be reached.
 func TestTaskOfVanishedWorkerIsEnded(t *testing.T) {
 	f := startCutFleet(t)
 	f.startTasks(1)
 	f.proxy.Partition(t)
 	f.expectEnd(testbed.RequestID(1), endLimit+ruleSlack)
+	f.proxy.Heal(t)
+	if line := testbed.Wait(t, "the release of the task", f.worker.Cancels); line.Tag != testbed.RequestID(1) {
+		t.Errorf("got %v, want the release of the task", line)
+	}
 }
