Repeat a completion until it counts as read, whichever connections it was lost on

Callers would see: they are not told that their task is over.

Class of bug: what is owed is given up after a count of attempts, or because nothing shows that it was lost.

Cause: a completion was dropped after four sends, also if each of the four connections ended, as those of probes of health do. A client that never confirms got no second send while its connection was open, also if it had vanished and nothing came from it any more.

Change: ends of connections are answered with another send for 8 s from the first, as the protocol allows, without a count. If nothing has come on a connection for 0.5 s after the send, the completion is sent on one other connection too.

--- a/internal/clientfront/unconfirmed.go
+++ b/internal/clientfront/unconfirmed.go
@@ -30,8 +30,10 @@
 	// confirmationRetention is the time, in microseconds, after which a completion counts as read if its connection is
 	// still open. It is the longest time within which a client must be notified.
 	confirmationRetention = 8 * second
-	// maxCompletionSends is the maximum number of connections on which one completion is sent.
+	// maxCompletionSends is the number of connections after which a completion is sent on no other one while the last of
+	// them is open. maxSilentSends replaces it for a client that never confirms, whose silence proves little.
 	maxCompletionSends = 4
+	maxSilentSends     = 2
 )
 
 // sentCompletion is a completion that was sent and is not confirmed.
@@ -53,7 +55,9 @@
 // sendCompletion sends a completion on a connection, and keeps it until it counts as read.
 func (f *Front) sendCompletion(client *clientConn, report completion) {
 	now := f.loop.Now()
-	report.sendCount++
+	if report.sendCount++; report.sendCount == 1 {
+		report.firstAt = now
+	}
 	f.tracer.Step("completion sent", report.requestID, now, "connection", client.number,
 		"usage", int(client.usage()), "send", report.sendCount)
 	client.conn.Write(report.line)
@@ -73,48 +77,52 @@
 	}
 }
 
-// repeatCompletions sends the unconfirmed completions of a connection that ended with err again. If the client closed the
-// connection itself, it has read what was sent earlier than closeCrossingTime before. err is nil if this side closed it.
+// repeatCompletions sends the unconfirmed completions of a connection that ended with err again, for as long as a client must
+// be notified. If the client closed the connection itself, it has read what was sent earlier than closeCrossingTime before.
+// err is nil if this side closed it.
 func (f *Front) repeatCompletions(client *clientConn, err error) {
-	maxAge := int64(confirmationRetention)
-	if errors.Is(err, eventloop.ErrEOF) {
-		maxAge = closeCrossingTime
-	}
+	now := f.loop.Now()
 	for _, sent := range f.unconfirmedOf(func(s sentCompletion) bool { return s.client == client }) {
 		delete(f.unconfirmed, sent.requestID)
-		if f.loop.Now()-sent.sentAt <= maxAge {
+		switch {
+		case errors.Is(err, eventloop.ErrEOF) && now-sent.sentAt > closeCrossingTime:
+		case now-sent.firstAt > confirmationRetention:
+			f.dropCompletion(sent.completion, "each connection on which it was sent has ended")
+		default:
 			f.repeat(sent, nil, "connection ended")
 		}
 	}
 }
 
-// sweepUnconfirmed drops the completions that count as read. It sends those again that are not read in time: their client
-// has confirmed others, or the kernel has not accepted all output to it.
+// sweepUnconfirmed drops the completions that count as read. It sends those again that may not be read in time (see
+// sentCompletion.isOverdue).
 func (f *Front) sweepUnconfirmed(now int64) {
 	maps.DeleteFunc(f.unconfirmed, func(_ string, s sentCompletion) bool { return now-s.sentAt > confirmationRetention })
 	overdue := f.unconfirmedOf(func(s sentCompletion) bool {
-		return now-s.sentAt > confirmationTimeout && s.isExpected()
+		return now-s.sentAt > confirmationTimeout && s.isOverdue()
 	})
 	for _, sent := range overdue {
-		if other := f.bestConn(usageTask, sent.client); other != nil {
+		other := f.bestConn(usageTask, sent.client)
+		if other == nil {
+			other = f.bestConn(usageMessage, sent.client)
+		}
+		if other != nil {
 			f.repeat(sent, other, "not confirmed in time")
 		}
 	}
 }
 
-// isExpected reports whether the connection shows that the completion is not read yet.
-func (s sentCompletion) isExpected() bool {
-	return s.client.confirms || s.client.conn.BytesBuffered() > 0
+// isOverdue reports whether the completion is to be sent on another connection, because its client has confirmed others, the
+// kernel has not accepted all output, or nothing has come from the client since, which may have vanished.
+func (s sentCompletion) isOverdue() bool {
+	if s.client.confirms || s.client.conn.BytesBuffered() > 0 {
+		return s.sendCount < maxCompletionSends
+	}
+	return s.client.lastActiveAt <= s.sentAt && s.sendCount < maxSilentSends
 }
 
 // repeat sends a completion again, on the given connection or, if target is nil, as reportCompletion does.
 func (f *Front) repeat(sent sentCompletion, target *clientConn, cause string) {
-	if sent.sendCount >= maxCompletionSends {
-		if target == nil {
-			f.dropCompletion(sent.completion, "sent on too many connections that ended")
-		}
-		return
-	}
 	f.completionCounts.Repeated++
 	f.tracer.Step("completion repeated", sent.requestID, f.loop.Now(), "connection", sent.client.number, "cause", cause,
 		"age_us", f.loop.Now()-sent.sentAt)
--- a/internal/clientfront/unconfirmed_test.go
+++ b/internal/clientfront/unconfirmed_test.go
@@ -173,3 +173,12 @@
 	front.completeOn(conns[0], 1)
 	clients[1].expect(t, finish(1, 16))
 }
+
+// The same holds if no other client had a task.
+func TestCompletionOnSilentConnectionGoesToAnyClient(t *testing.T) {
+	front := startFront(t, 10)
+	clients, conns := taskClients(t, front)
+	front.onLoop(func() { conns[1].hasTask = false })
+	front.completeOn(conns[0], 1)
+	clients[1].expect(t, finish(1, 16))
+}
--- a/internal/clientfront/unreported.go
+++ b/internal/clientfront/unreported.go
@@ -27,6 +27,7 @@
 	line      []byte // the encoded message
 	queuedAt  int64  // time at which the completion was stored as unreported, in microseconds
 	sendCount int    // number of connections on which the completion was sent
+	firstAt   int64  // time at which the completion was first sent, in microseconds
 }
 
 // Respond implements dispatch.Client for the completions of tasks that clients of an earlier process believe to run. It
