Keep connections whose calls fail for a moment for lack of memory or buffers

Callers would see: their connection is closed with a request open on it, or an answer that never comes on a connection that stays open.

Class of bug: an error that passes taken for the final one, or for one that can't happen.

Cause: read and write closed a connection at ENOBUFS and ENOMEM. A failed epoll_ctl was ignored, 'as it cannot fail', so that output was left unsent and a paused listener stayed paused. A connection that could not be watched at once was closed after it was accepted.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -211,7 +211,9 @@
 		return
 	}
 	if listener := l.listeners[fd]; listener != nil {
-		l.acceptAll(listener)
+		if !listener.paused {
+			l.acceptAll(listener)
+		}
 		return
 	}
 	if packetConn := l.packetConns[fd]; packetConn != nil {
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -186,8 +186,8 @@
 	return err != nil || ready > 0
 }
 
-// addAccepted adds a connection that was accepted. If epoll rejects the connection, it is closed and its handler is
-// not notified. Closed must not be called without Opened, because it releases what Opened acquires.
+// addAccepted adds a connection that was accepted. If epoll rejects the connection for good, it is closed and its handler
+// is not notified. Closed must not be called without Opened, because it releases what Opened acquires.
 func (l *Loop) addAccepted(fd int, listener *listener) {
 	setSocketOptions(fd)
 	c := &Conn{
@@ -199,12 +199,11 @@
 		emptyAt:     listener.emptyAt,
 		unreadPoll:  l.polls.count,
 	}
-	if err := l.addDescriptor(fd, c.interest); err != nil {
+	if err := l.watch(c); isTransient(err) {
+		l.watchLater(c, 0)
+	} else if err != nil {
 		closeFD(fd)
-		return
 	}
-	l.conns[fd] = c
-	c.handler.Opened(c)
 }
 
 // pause stops the listener from accepting connections for acceptPause; they stay in the accept queue. Without
@@ -215,11 +214,20 @@
 		return
 	}
 	listener.paused = true
-	_ = l.epollCtl(unix.EPOLL_CTL_MOD, listener.fd, 0) // cannot fail, because the descriptor is being watched
+	_ = l.epollCtl(unix.EPOLL_CTL_MOD, listener.fd, 0) // if this fails, polls return at once during the pause
+	l.resumeLater(listener)
+}
+
+// resumeLater lets a paused listener accept connections after acceptPause.
+func (l *Loop) resumeLater(listener *listener) {
 	l.After(acceptPause, func() {
-		if l.listeners[listener.fd] == listener {
-			listener.paused = false
-			_ = l.epollCtl(unix.EPOLL_CTL_MOD, listener.fd, unix.EPOLLIN)
+		if l.listeners[listener.fd] != listener {
+			return
+		}
+		if err := l.epollCtl(unix.EPOLL_CTL_MOD, listener.fd, unix.EPOLLIN); err != nil {
+			l.resumeLater(listener)
+			return
 		}
+		listener.paused = false
 	})
 }
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -41,6 +41,9 @@
 			c.emptyAt = startedAt
 			return true, nil
 		default:
+			if isTransient(err) {
+				return false, nil
+			}
 			return false, &OpError{Op: "read", Err: err}
 		}
 		if n == 0 {
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -59,7 +59,15 @@
 			c.updateInterest()
 			return nil
 		default:
-			return &OpError{Op: "write", Err: err}
+			if !isTransient(err) {
+				return &OpError{Op: "write", Err: err}
+			}
+			if len(c.output) > c.loop.maxBuffered {
+				return ErrOverflow
+			}
+			c.awaitsDrain = true
+			c.retryFlush()
+			return nil
 		}
 	}
 	if len(c.output) > c.loop.maxBuffered {
@@ -82,10 +90,14 @@
 	if len(c.output) > 0 || !c.established {
 		interest |= unix.EPOLLOUT
 	}
-	if interest != c.interest {
-		c.interest = interest
-		_ = c.loop.epollCtl(unix.EPOLL_CTL_MOD, c.fd, interest) // cannot fail, because the descriptor is being watched
+	if interest == c.interest {
+		return
+	}
+	if err := c.loop.epollCtl(unix.EPOLL_CTL_MOD, c.fd, interest); err != nil {
+		c.loop.After(transientRetry, c.updateInterest)
+		return
 	}
+	c.interest = interest
 }
 
 // notifyDrained calls Drained if no output is left and the handler implements Drainer.
--- a/internal/testbed/syscallfault/syscallfault.go
+++ b/internal/testbed/syscallfault/syscallfault.go
@@ -30,12 +30,16 @@
 	Gap         time.Duration // minimum time between two periods
 	Ports       []int         // if set, only calls on connections to one of these TCP ports fail
 	Directory   string        // if set, only calls on files in this directory fail
+	Connections bool          // if set, only calls on connections fail
+	Operation   uint64        // if set, only calls whose second argument has this value fail
 }
 
 // Transient returns the errors that the calls of a network server meet for a moment: connections cannot be accepted or
-// opened, and waits are interrupted.
+// opened, waits are interrupted, and the system lacks buffers for connections and for what a process watches.
 func Transient() []Fault {
 	const longest, gap = 200 * time.Millisecond, time.Second
+	const shortOfBuffers = 50 * time.Millisecond
+	noBuffers := []unix.Errno{unix.ENOBUFS, unix.ENOMEM}
 	return []Fault{
 		{Number: unix.SYS_ACCEPT4, Probability: 0.05, Longest: longest, Gap: gap,
 			Errors: []unix.Errno{unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EPROTO}},
@@ -44,6 +48,10 @@
 		{Number: unix.SYS_CONNECT, Probability: 0.03, Longest: longest, Gap: gap,
 			Errors: []unix.Errno{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EHOSTUNREACH, unix.ETIMEDOUT, unix.EAGAIN}},
 		{Number: unix.SYS_EPOLL_PWAIT, Probability: 0.02, Errors: []unix.Errno{unix.EINTR}},
+		{Number: unix.SYS_WRITE, Probability: 0.002, Longest: shortOfBuffers, Gap: gap, Errors: noBuffers, Connections: true},
+		{Number: unix.SYS_READ, Probability: 0.002, Longest: shortOfBuffers, Gap: gap, Errors: noBuffers, Connections: true},
+		{Number: unix.SYS_EPOLL_CTL, Probability: 0.1, Longest: shortOfBuffers, Gap: gap, Errors: []unix.Errno{unix.ENOMEM},
+			Operation: unix.EPOLL_CTL_MOD},
 	}
 }
 
@@ -253,6 +261,9 @@
 	if begins && (now.Before(fault.until.Add(fault.Gap)) || i.random.Float64() >= fault.Probability) {
 		return 0
 	}
+	if fault.Operation != 0 && call.arguments[1] != fault.Operation || fault.Connections && remotePort(process, call) == 0 {
+		return 0
+	}
 	if len(fault.Ports) > 0 && !slices.Contains(fault.Ports, remotePort(process, call)) {
 		return 0
 	}
