Pass on no end of a request of this process

Callers saw: a second response to a request, in the first 12 s after a start.

Cause: the requests of this process were told from those of an earlier one by the history of offers, which holds eight for each of 512 buckets and forgets the oldest.

Change: the IDs of all requests of this process are kept in a Bloom filter of 16 kB for the 12 s in which ends are passed on. An unknown ID is taken for a known one once in 1,100 at 2,000 requests; its end is then kept for a claim only, as before. The logic has a file of its own.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,9 +55,8 @@
 	tasksByWorker runningTasks
 	history       offerHistory
 	unclaimed     unclaimedCompletions
-	// earlierClients gets the completions of tasks that clients of an earlier process believe to run; nil if nobody does.
-	earlierClients Client
-	responses      responseCache
+	inherited     inheritance
+	responses     responseCache
 
 	// Deadlines, timers, and the pacing of responses.
 	deadlines   deadlineHeap
@@ -70,7 +69,6 @@
 	listed        map[string]bool
 	drainingSince map[string]int64 // time since which a worker counts as draining or removed, by worker
 	hasList       bool             // a list was received
-	firstListAt   int64            // time at which the first list was received, in microseconds
 	rejectsAll    bool             // RejectAll was called
 	confirmList   bool             // the scheduler has requested the list or its changes, and Turn has to answer
 
@@ -107,6 +105,7 @@
 		unresponsive:  map[string]*request{},
 		tasksByWorker: runningTasks{},
 		unclaimed:     newUnclaimedCompletions(),
+		inherited:     inheritance{ownRequests: &requestFilter{}},
 		responses:     newResponseCache(),
 
 		listFilter:    newListFilter(),
@@ -161,6 +160,7 @@
 // insert adds a new request to the table.
 func (d *Dispatcher) insert(r *request) {
 	d.requests[r.RequestID] = r
+	d.inherited.recordOwn(r.RequestID)
 	if r.Key != "" {
 		d.latestByKey[r.Key] = r
 	}
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -149,7 +149,6 @@
 func (d *Dispatcher) adopt(r *request) {
 	d.counts.Adopted++
 	r.worker, r.mayHaveRun, r.adoptedAt = r.RunningOn, true, d.now
-	r.priorOffers = append(r.priorOffers, priorOffer{worker: r.worker}) // an earlier process has offered it there
 	d.workers.CancelRelease(r.worker, r.RequestID)
 	d.transition(r, eventAdopted)
 	d.trace("adopted", r, "connection", r.Connection)
--- a/internal/dispatch/turn.go
+++ b/internal/dispatch/turn.go
@@ -32,7 +32,7 @@
 	if len(d.timers) > 0 {
 		consider(d.timers[0].at)
 	}
-	consider(d.unclaimed.nextInheritedAt())
+	consider(d.inherited.nextAt())
 	if len(d.events) > 0 {
 		consider(d.now)
 	}
@@ -50,7 +50,7 @@
 		timer := heap.Pop(&d.timers).(schedulerTimer)
 		d.queueEvent(placement.TimerFired{Ref: timer.ref})
 	}
-	d.passOnInherited()
+	d.passOn()
 	if now >= d.nextSweepAt {
 		d.nextSweepAt = now + sweepInterval
 		d.sweep()
--- a/internal/dispatch/unclaimed_test.go
+++ b/internal/dispatch/unclaimed_test.go
@@ -114,7 +114,7 @@
 			if c.prepare != nil {
 				c.prepare(h)
 			}
-			h.now = max(h.now, h.firstListAt+c.after)
+			h.now = max(h.now, h.inherited.firstListAt+c.after)
 			for range 2 {
 				h.EndReported(h.now, "a", "t1", c.outcome, 0)
 			}
--- a/internal/dispatch/workerlist.go
+++ b/internal/dispatch/workerlist.go
@@ -9,7 +9,7 @@
 func (d *Dispatcher) UpdateWorkers(now int64, list placement.WorkerList) {
 	d.now = now
 	if !d.hasList {
-		d.hasList, d.firstListAt = true, d.now
+		d.hasList, d.inherited.firstListAt = true, d.now
 	}
 	if isCompleteList(list) {
 		// Workers that a complete list does not name count as draining from now on. The loop sets this time for
