Wait in a shutdown for the reports of workers that are on their way

Cause: the end of a connection to a worker takes up to 0.25 s, in which it still receives. The shutdown did not wait for that.

Change: a process that settles waits until no connection to a worker is open or lingers, those for late completions too, before it stops to listen. What waits for a client goes to the best connection at once, instead of after 0.5 s.

--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -116,13 +116,14 @@
 	}
 }
 
-// settle rejects or fails the open requests, including those that still arrive, and takes no more reports of workers. Once
-// nothing is left to deliver, it stops to listen, and lastRequestsUs later it stops the server. It stops the server at the
+// settle rejects or fails the open requests, including those that still arrive, and takes no more reports of workers than
+// those that are on their way. Once nothing is left to deliver, it stops to listen, and lastRequestsUs later it stops the server. It stops the server at the
 // latest flushTimeoutUs after the drain timeout, and thus before the kill.
 func (s *server) settle(drainEnd int64) {
 	s.dispatcher.RejectAll(s.loop.Now())
 	s.pool.Retire()
-	isDelivered := s.grpcStopped(drainEnd) && s.unfinishedWork() == unfinishedWork{}
+	s.clientFront.ReportNow()
+	isDelivered := s.grpcStopped(drainEnd) && !s.pool.MayReceive() && s.unfinishedWork() == unfinishedWork{}
 	end := drainEnd + flushTimeoutUs
 	if isDelivered || s.loop.Now() >= end-lastRequestsUs {
 		s.stopListening()
--- a/internal/clientfront/unreported.go
+++ b/internal/clientfront/unreported.go
@@ -88,6 +88,15 @@
 	if len(f.unreported) == 0 || now-f.unreported[0].queuedAt <= unreportedWait {
 		return
 	}
+	f.ReportNow()
+}
+
+// ReportNow sends the unreported completions on the best connection that sent a message, if there is one. A process that
+// ends can't wait for a better one.
+func (f *Front) ReportNow() {
+	if len(f.unreported) == 0 {
+		return
+	}
 	if client := f.bestConn(usageMessage, nil); client != nil {
 		f.reportOn(client)
 	}
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -223,6 +223,7 @@
 func (c *workerConn) Closed(_ *eventloop.Conn, err error) {
 	if c.lingering {
 		c.lingerTimer.Stop()
+		delete(c.link.pool.receivers, c)
 		return
 	}
 	if c.established {
--- a/internal/workerpool/late_completions.go
+++ b/internal/workerpool/late_completions.go
@@ -95,6 +95,7 @@
 		return
 	}
 	c.conn = conn
+	l.pool.receivers[&c.workerConn] = true
 }
 
 // expectsLateCompletions reports whether a connection for the late completions of the given tasks is due. This is the
@@ -123,7 +124,16 @@
 	c.link.pool.counts.LateCompletions++
 	c.link.pool.log.Debug("connection for late completions opened", "worker", c.link.workerID,
 		"connection", c.number)
-	c.link.pool.loop.After(lateCompletionConnLifetime, c.linger)
+	c.link.pool.loop.After(lateCompletionConnLifetime, c.endLife)
+}
+
+// endLife ends the connection once it has been open for lateCompletionConnLifetime, unless it ended before.
+func (c *lateCompletionConn) endLife() {
+	if c.lingering {
+		return
+	}
+	delete(c.link.pool.receivers, &c.workerConn)
+	c.linger()
 }
 
 // Data implements eventloop.Handler. There is no time limit for the rest of an incomplete message, because the
@@ -136,4 +146,7 @@
 
 // Closed implements eventloop.Handler. It ignores the end of the connection: whether the worker is reachable is
 // decided by the connections that carry offers.
-func (c *lateCompletionConn) Closed(*eventloop.Conn, error) { c.lingerTimer.Stop() }
+func (c *lateCompletionConn) Closed(*eventloop.Conn, error) {
+	c.lingerTimer.Stop()
+	delete(c.link.pool.receivers, &c.workerConn)
+}
--- a/internal/workerpool/linger.go
+++ b/internal/workerpool/linger.go
@@ -32,7 +32,9 @@
 		return
 	}
 	c.lingering = true
+	c.link.pool.receivers[c] = true
 	c.lingerTimer = loop.After(lingerTimeout, func() {
+		delete(c.link.pool.receivers, c)
 		if c.lostUnnoticed {
 			c.link.lostUnnoticedAt = loop.Now() // a worker that notices the end closes its direction
 		}
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -52,6 +52,7 @@
 	pendingReports []func()                 // called by DeliverPending; each reports an outcome to the dispatcher
 	delayedOffers  []delayedOffer           // offers that wait until the connections of their clients have been read
 	retired        bool                     // Retire was called
+	receivers      map[*workerConn]bool     // connections outside of the links that may still receive reports
 	budget         *descriptors.Budget      // nil if ShareDescriptors was not called
 	idle           idleConns
 	counts         Counts
@@ -74,6 +75,7 @@
 		log:           ratelog.New(log),
 		tracer:        dispatch.Tracer{Log: log},
 		links:         map[string]*link{},
+		receivers:     map[*workerConn]bool{},
 	}
 }
 
--- a/internal/workerpool/retire.go
+++ b/internal/workerpool/retire.go
@@ -17,6 +17,24 @@
 			}
 		}
 	}
+	for c := range p.receivers {
+		if !c.lingering && c.conn.IsUp() {
+			c.linger()
+		}
+	}
+}
+
+// MayReceive reports whether a worker's report may still be received: a connection is open, or lingers.
+func (p *Pool) MayReceive() bool {
+	if len(p.receivers) > 0 {
+		return true
+	}
+	for _, l := range p.links {
+		if len(l.conns) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // mayDial reports whether a connection may be dialled that no offer needs.
