--- a/internal/testbed/client.go
+++ b/internal/testbed/client.go
@@ -31,9 +31,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return newClient(conn), nil
+}
+
+// DialWithin connects a client to addr like Dial, but within a limited time.
+func DialWithin(addr string, limit time.Duration) (*Client, error) {
+	conn, err := net.DialTimeout("tcp", addr, limit)
+	if err != nil {
+		return nil, err
+	}
+	return newClient(conn), nil
+}
+
+func newClient(conn net.Conn) *Client {
 	client := &Client{Conn: conn, Lines: make(chan Line, maxUnread)}
 	go client.receive(conn)
-	return client, nil
+	return client
 }
 
 // NewClient connects a client to addr. The connection is closed at the end of the test.
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,6 +29,7 @@
 	ended      chan struct{} // closed when the process ends; replaced by each start
 	endedAt    time.Time     // time at which the process last ended
 	lines      []string      // log lines since the first start
+	receivedAt []time.Time   // times at which the lines were received
 	firstLine  int           // index in lines of the first line logged since the last start
 	logChanged *sync.Cond    // signalled when lines grows, the process ends, or a wait times out
 }
@@ -65,7 +67,7 @@
 func (p *Process) follow(cmd *exec.Cmd, log io.Reader, ended chan<- struct{}) {
 	for scanner := bufio.NewScanner(log); scanner.Scan(); {
 		p.mu.Lock()
-		p.lines = append(p.lines, scanner.Text())
+		p.lines, p.receivedAt = append(p.lines, scanner.Text()), append(p.receivedAt, time.Now())
 		p.logChanged.Broadcast()
 		p.mu.Unlock()
 	}
@@ -113,6 +115,20 @@
 	return append([]string(nil), p.lines...)
 }
 
+// FirstLineAt returns the time at which the first log line that contains all given texts was received, or the zero time. It
+// does not depend on the clock of the process, which a test may step.
+func (p *Process) FirstLineAt(texts ...string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.lines, func(line string) bool {
+		return !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) })
+	})
+	if i < 0 {
+		return time.Time{}
+	}
+	return p.receivedAt[i]
+}
+
 // IsRunning reports whether the process was started and has not ended. A paused process counts
 // as running.
 func (p *Process) IsRunning() bool { return p.ended != nil && !p.hasEnded() }
--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -41,20 +41,20 @@
 	mu               sync.Mutex
 	dialled          *sync.Cond // signalled when a connection is accepted
 	connections      map[net.Conn]bool
-	offerConnections map[string]net.Conn   // connection of each offer, by request ID
-	running          map[string]bool       // running tasks, by request ID
-	offerCounts      map[string]int        // number of offers, by the task's key; only without a CapacityModel
-	dials            int                   // number of connections accepted
-	unreported       []Line                // reports of ended tasks to send on the next connection
-	onlyReports      map[string]onlyReport // reports that one connection got alone, by request ID
-	unresponsive     bool                  // the worker reads messages and ignores them
-	incarnation      int                   // number of crashes
-	connectionEnds   []time.Time           // end times of connections
-	pings            int                   // number of pings received
+	offerConnections map[string]net.Conn      // connection of each offer, by request ID
+	running          map[string]bool          // running tasks, by request ID
+	offerCounts      map[string]int           // number of offers, by the task's key; only without a CapacityModel
+	dials            int                      // number of connections accepted
+	unreported       []Line                   // reports of ended tasks to send on the next connection
+	sentReports      map[string][]*sentReport // reports of ended tasks, by request ID
+	unresponsive     bool                     // the worker reads messages and ignores them
+	incarnation      int                      // number of crashes
+	connectionEnds   []time.Time              // end times of connections
+	pings            int                      // number of pings received
 }
 
-// onlyReport is the connection that got both reports of an ended task, because none was open when the task ended.
-type onlyReport struct {
+// sentReport is a report of an ended task that was sent on a connection.
+type sentReport struct {
 	connection net.Conn
 	at         time.Time
 	lost       bool // the connection ended within reportLossWindow
@@ -84,7 +84,7 @@
 		offerConnections: map[string]net.Conn{},
 		running:          map[string]bool{},
 		offerCounts:      map[string]int{},
-		onlyReports:      map[string]onlyReport{},
+		sentReports:      map[string][]*sentReport{},
 	}
 	w.dialled = sync.NewCond(&w.mu)
 	go w.accept(listener)
@@ -105,7 +105,9 @@
 		w.dialled.Broadcast()
 		unreported := w.unreported
 		w.unreported = nil
-		w.recordOnlyReports(unreported, conn)
+		for _, line := range unreported {
+			w.recordReport(line, conn)
+		}
 		w.mu.Unlock()
 		if w.proxyAddress == "" { // if the worker has a proxy, the proxy detects that the orchestrator closed a connection
 			w.Attempts.connected(conn.RemoteAddr().String(), func() bool { return closedByPeer(conn.(*net.TCPConn)) })
@@ -160,9 +162,10 @@
 	w.mu.Lock()
 	delete(w.connections, conn)
 	w.connectionEnds = append(w.connectionEnds, time.Now())
-	for id, report := range w.onlyReports {
-		report.lost = report.lost || report.connection == conn && time.Since(report.at) <= reportLossWindow
-		w.onlyReports[id] = report
+	for _, reports := range w.sentReports {
+		for _, report := range reports {
+			report.lost = report.lost || report.connection == conn && time.Since(report.at) <= reportLossWindow
+		}
 	}
 	maps.DeleteFunc(w.offerConnections, func(_ string, offered net.Conn) bool { return offered == conn })
 	w.mu.Unlock()
@@ -246,6 +249,7 @@
 		w.unreported = append(w.unreported, line)
 		return
 	}
+	w.recordReport(line, conn)
 	Send(conn, line)
 }
 
@@ -355,23 +359,21 @@
 	return slices.ContainsFunc(w.unreported, func(line Line) bool { return line.Tag == requestID })
 }
 
-// recordOnlyReports records which reports stand in the list twice. The caller holds mu.
-func (w *Worker) recordOnlyReports(reports []Line, conn net.Conn) {
-	seen := map[string]bool{}
-	for _, line := range reports {
-		if seen[line.Tag] {
-			w.onlyReports[line.Tag] = onlyReport{connection: conn, at: time.Now()}
-		}
-		seen[line.Tag] = true
+// recordReport records that a report of an ended task is sent on a connection. The caller holds mu.
+func (w *Worker) recordReport(line Line, conn net.Conn) {
+	if line.Verb == "FINISH" {
+		w.sentReports[line.Tag] = append(w.sentReports[line.Tag], &sentReport{connection: conn, at: time.Now()})
 	}
 }
 
-// LostReports reports whether the reports of an ended task may all be lost: none of the worker's connections was open when
-// the task ended, and the next one, which got both reports, ended within reportLossWindow.
+// LostReports reports whether the reports of an ended task may all be lost: it was reported as often as the protocol
+// specifies, and each connection on which it was reported ended within reportLossWindow.
 func (w *Worker) LostReports(requestID string) bool {
+	const reportCount = 2
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.onlyReports[requestID].lost
+	reports := w.sentReports[requestID]
+	return len(reports) >= reportCount && !slices.ContainsFunc(reports, func(report *sentReport) bool { return !report.lost })
 }
 
 // LostConnection reports whether a connection of the worker ended between two times. It does not matter which
--- a/test/delivery/restart_test.go
+++ b/test/delivery/restart_test.go
@@ -41,6 +41,8 @@
 	// killAfter is the time from SIGTERM to SIGKILL: the deadline of the classes and 0.7 s.
 	deadline  = 2 * time.Second
 	killAfter = deadline + 700*time.Millisecond
+	// dialTimeout is the time within which a client expects its connection to be established. It tries again then.
+	dialTimeout = 250 * time.Millisecond
 	// calmTime is the time without faults after which reportLimit holds for each task.
 	calmTime = 3500 * time.Millisecond
 )
