--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -25,6 +25,7 @@
 type verdict struct {
 	requests, afterSIGTERM, crossed                                                            int
 	lost, late, unreported, early, duplicates, afterLeave, toDraining, uncleanExits, overLimit int
+	oldestCrossed                                                                              time.Duration // time from the oldest crossed request to the end of its connection
 	firstViolation                                                                             string
 }
 
@@ -33,14 +34,15 @@
 }
 
 func (v verdict) String() string {
-	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d",
-		v.requests, v.afterSIGTERM, v.crossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit)
+	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d oldest_crossed=%s lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d",
+		v.requests, v.afterSIGTERM, v.crossed, v.oldestCrossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit)
 }
 
 func (v *verdict) add(other verdict) {
 	v.requests += other.requests
 	v.afterSIGTERM += other.afterSIGTERM
 	v.crossed += other.crossed
+	v.oldestCrossed = max(v.oldestCrossed, other.oldestCrossed)
 	v.lost += other.lost
 	v.late += other.late
 	v.unreported += other.unreported
@@ -141,6 +143,7 @@
 			append(s.describeRequest(r), fmt.Sprintf("request read by the process: %v", wasRead))...)
 	case r.respondedAt.IsZero() && r.leftAt.IsZero():
 		v.crossed++
+		v.oldestCrossed = max(v.oldestCrossed, r.disconnectedAt.Sub(r.submittedAt))
 	}
 	due := r.submittedAt.Add(r.timeout + responseSlack)
 	if r.leftAt.IsZero() && r.respondedAt.After(due.Add(s.pauses.TotalBetween(r.submittedAt, r.respondedAt))) {
--- a/test/soak/judges_test.go
+++ b/test/soak/judges_test.go
@@ -26,7 +26,8 @@
 	{"answered twice", func(r *request, _ *process) { r.respondedAt, r.responses = at(10), 2 }, true, verdict{duplicates: 1}},
 	{"never answered", func(*request, *process) {}, false, verdict{lost: 1}},
 	{"its client left", func(r *request, _ *process) { r.leftAt = at(10) }, true, verdict{}},
-	{"not read, may have crossed the end of its connection", func(r *request, _ *process) { r.disconnectedAt = at(40) }, false, verdict{crossed: 1}},
+	{"not read, may have crossed the end of its connection", func(r *request, _ *process) { r.disconnectedAt = at(40) }, false,
+		verdict{crossed: 1, oldestCrossed: 40 * time.Millisecond}},
 	{"read, no response before the end of its connection", func(r *request, _ *process) { r.disconnectedAt = at(40) }, true, verdict{lost: 1}},
 	{"not read, sent too early to cross the end of its connection", func(r *request, _ *process) { r.disconnectedAt = at(60) }, false, verdict{lost: 1}},
 	{"end not reported", func(r *request, _ *process) {
