Close gRPC connections above the maximum instead of letting them wait

Callers would see: a client waits for its connection to be accepted for as long as 64 others keep theirs, which may be for good.

Class of bug: a state of a connection that nobody has to end.

Cause: the listener stopped to accept at the maximum. The kernel establishes the connection, and nobody answers on it.

Result: TestConnectionAboveMaximumIsClosed; the listener before leaves the second connection open, by its documentation (not run).

--- a/internal/grpcfront/accept_test.go
+++ b/internal/grpcfront/accept_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ravenhitch/internal/testbed"
+	"ravenhitch/internal/testbed/nettest"
 )
 
 // failingListener is a listener whose Accept returns the given errors and then net.ErrClosed.
@@ -34,3 +39,37 @@
 		t.Errorf("got error %v with %d errors left, want %v after all errors", err, len(listener.errs), net.ErrClosed)
 	}
 }
+
+// Guards against a client that waits for its connection to be accepted for as long as others keep theirs. A connection above
+// the maximum is closed; once another one has ended, the next is accepted.
+func TestConnectionAboveMaximumIsClosed(t *testing.T) {
+	tcp := nettest.Listen(t)
+	listener := &boundedListener{Listener: tcp, maxConns: 1}
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	nettest.Dial(t, tcp.Addr().String())
+	first := testbed.Wait(t, "the first connection", accepted)
+	above := nettest.Dial(t, tcp.Addr().String())
+	if err := above.SetReadDeadline(time.Now().Add(testbed.Timeout)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := above.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("connection above the maximum: got %v, want its end", err)
+	}
+	for range 2 { // a second close must not count
+		testbed.CloseQuietly(first)
+	}
+	nettest.Dial(t, tcp.Addr().String())
+	testbed.CloseQuietly(testbed.Wait(t, "the connection after the end of the first", accepted))
+	if open := listener.open.Load(); open != 0 {
+		t.Errorf("%d connections count as open after all have ended, want 0", open)
+	}
+}
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -33,7 +31,7 @@
 )
 
 const (
-	// MaxConns is the maximum number of connections that the front serves at the same time.
+	// MaxConns is the maximum number of connections that the front serves at the same time. Further ones are closed.
 	MaxConns = 64
 	// maxStreams is the maximum number of concurrent calls on one connection.
 	maxStreams = 100
@@ -63,8 +61,6 @@
 	// minClientPingInterval is the minimum time between two pings from a client. The server closes a connection
 	// whose client repeatedly pings more often.
 	minClientPingInterval = 5 * time.Second
-	// acceptRetryDelay is the delay after a connection could not be accepted.
-	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Loop is the part of the event loop that the front uses. Post may be called from any goroutine; Now and
@@ -148,26 +144,10 @@
 // request IDs are traced. It must be called before Serve.
 func (f *Front) SetTraceSuffixes(suffixes []string) { f.tracer.Suffixes = suffixes }
 
-// retryingListener is a listener whose Accept retries after the errors of a system call that pass, for example if the
-// system is out of buffers or a network error is pending. The gRPC server would stop for good at most of them.
-type retryingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l retryingListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		var errno unix.Errno
-		if !errors.As(err, &errno) || errno == unix.EBADF || errno == unix.EINVAL {
-			return conn, err
-		}
-		time.Sleep(acceptRetryDelay)
-	}
-}
-
 // Serve serves connections from the listener until Close is called, and then returns nil. It returns an error if
 // the listener fails.
 func (f *Front) Serve(listener net.Listener) error {
-	err := f.server.Serve(netutil.LimitListener(retryingListener{listener}, MaxConns))
+	err := f.server.Serve(&boundedListener{Listener: retryingListener{listener}, maxConns: MaxConns})
 	if err != nil && !errors.Is(err, grpc.ErrServerStopped) {
 		return fmt.Errorf("grpcfront: %w", err)
 	}
