End the watches of the health service when the gRPC front begins to close

Callers would see: a client that watches the health of an orchestrator is told NOT_SERVING, and its call goes on until its connection is aborted shortly before the kill; the process stays up for it, serving nobody.

Class of bug: a state of a stream that nobody has to end.

Cause: the health service of grpc-go ends no watch, and a graceful stop waits for it.

Change: an interceptor ends a watch with the status of the sessions (open it again elsewhere) when the front begins to close.

Result: TestShutdownEndsHealthWatch got the end of the connection before and passes. TestClientsAreServedWhileGRPCEnds, whose watch is ended now instead of aborted, passes unchanged.

--- a/cmd/ravenhitch/shutdown_grpc_test.go
+++ b/cmd/ravenhitch/shutdown_grpc_test.go
@@ -7,7 +7,9 @@
 	"context"
 	"testing"
 
+	"google.golang.org/grpc/codes"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
 
 	"ravenhitch/internal/testbed"
 )
@@ -37,3 +39,23 @@
 		t.Error("the event loop ended before the calls over gRPC")
 	}
 }
+
+// A client watches the health of the server and does not end its call. The server ends it when nothing else is left to do. It
+// guards against a shutdown that waits for such a client until shortly before the kill.
+func TestShutdownEndsHealthWatch(t *testing.T) {
+	server := newTestServer(t, "a")
+	watch, err := healthpb.NewHealthClient(server.dialGRPC(t)).Watch(context.Background(), &healthpb.HealthCheckRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Stop()
+	for err == nil {
+		_, err = watch.Recv()
+	}
+	if message := status.Convert(err).Message(); status.Code(err) != codes.Unavailable || message != "the orchestrator ends; open the session again" {
+		t.Errorf("end of the watch: got %v, want that the orchestrator ends", err)
+	}
+	if err := server.waitStopped(t); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -9,6 +9,7 @@
 // queues. Invariant: the dispatcher is called on the event loop only, and the goroutines never block the event loop.
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -92,6 +93,8 @@
 	keys        atomic.Pointer[retrytoken.Keys]
 	log         *slog.Logger
 	tracer      dispatch.Tracer
+	closed      context.Context // ends when the front begins to close
+	endWatches  context.CancelFunc
 
 	// The following fields are accessed on the event loop only.
 	redeemed       retrytoken.Redeemed
@@ -120,12 +123,14 @@
 func New(loop Loop, dispatcher Dispatcher, creds credentials.TransportCredentials) *Front {
 	f := &Front{loop: loop, dispatcher: dispatcher, sessions: map[string]*session{}, health: health.NewServer()}
 	f.SetLog(slog.New(slog.DiscardHandler))
+	f.closed, f.endWatches = context.WithCancel(context.Background())
 	f.server = grpc.NewServer(
 		grpc.Creds(creds),
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxHeaderListSize(maxHeaders),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.ConnectionTimeout(firstMessageTimeout),
+		grpc.StreamInterceptor(f.endWatchAtClose),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle, Time: pingInterval, Timeout: pingTimeout}),
@@ -158,7 +163,7 @@
 // status move to another orchestrator. Calls and messages that still arrive are served as before.
 func (f *Front) SetNotServing() { f.health.Shutdown() }
 
-// BeginClose ends each stream after its queued messages are sent, and stops the server once its calls have ended. New
+// BeginClose ends each stream after its queued messages are sent, ends the watches of the health service, and stops the server once its calls have ended. New
 // calls are refused, and offers that a stream still reads are rejected. Calls that have not ended within timeout are aborted.
 // Then it calls stopped on the event loop, which must still run, so that open calls get their responses. BeginClose must be
 // called on the event loop. Only its first call has an effect.
@@ -167,6 +172,7 @@
 		return
 	}
 	f.closing = true
+	f.endWatches()
 	for _, session := range f.sessions {
 		if session.stream != nil {
 			session.stream.endGracefully(errShutdown)
