Answer the last requests also if the system is out of buffers when the process ends

Callers would see: a request that was read, or written up to 45 ms before the process ended, has no answer.

Class of bug: an error that passes taken for the final one.

Cause: at the end of the process, what clients have sent is read and answered once. A read or write that failed for lack of buffers was not repeated.

Change: it is repeated for up to 60 ms. The time of slow readers before it is 0.16 s instead of 0.2 s, so that the process still ends before the kill.

--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -32,11 +32,12 @@
 	// killMarginUs is how long before the kill the server rejects or fails the requests that are still open.
 	killMarginUs = 300 * millisecond
 	// flushTimeoutUs is the first part of killMarginUs, in which clients may still read their last responses. The
-	// server stops at the end of this time, or earlier if nothing is left to deliver to clients.
-	flushTimeoutUs = 200 * millisecond
+	// server stops at the end of this time, or earlier if nothing is left to deliver to clients. The rest of killMarginUs is
+	// for the last requests (see clientfront.Front.CloseClients) and figures.
+	flushTimeoutUs = 160 * millisecond
 	// grpcFlushUs is the time after the drain timeout at which the gRPC calls that have not ended are aborted. It leaves
 	// the rest of flushTimeoutUs for the abort.
-	grpcFlushUs = 150 * millisecond
+	grpcFlushUs = 120 * millisecond
 	// maxSuccessorCheckUs limits how long a shutdown waits for the file worker to check the handover files for a
 	// successor. The files may be on a slow disk.
 	maxSuccessorCheckUs = 100 * millisecond
--- a/internal/clientfront/front.go
+++ b/internal/clientfront/front.go
@@ -8,6 +8,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"ravenhitch/internal/descriptors"
 	"ravenhitch/internal/dispatch"
@@ -21,8 +22,14 @@
 	second      = 1_000 * millisecond
 )
 
-// sweepInterval is the time between two sweeps over the connections and unreported completions.
-const sweepInterval = 250 * millisecond
+const (
+	// sweepInterval is the time between two sweeps over the connections and unreported completions, in microseconds.
+	sweepInterval = 250 * millisecond
+	// closeRetryTime is the time, in microseconds, for which CloseClients repeats reads and writes that fail for lack of
+	// buffers, every closeRetryInterval.
+	closeRetryTime     = 60 * millisecond
+	closeRetryInterval = 5 * time.Millisecond
+)
 
 // Front serves the clients of an orchestrator. It belongs to the event loop: while the loop runs, only the goroutine
 // of the loop may use the front.
@@ -73,8 +80,12 @@
 
 // CloseClients closes all connections when the program ends. Immediately before it closes a connection, it reads what the
 // client has sent meanwhile and responds to it: the client has handed over a request once it has written it. If input were
-// left, the kernel would also reset the connection, and the client could lose responses that it has not read yet.
+// left, the kernel would also reset the connection, and the client could lose responses that it has not read yet. While the
+// system is out of buffers, CloseClients blocks for up to closeRetryTime. The event loop must have ended.
 func (f *Front) CloseClients() {
+	for end := f.loop.Clock() + closeRetryTime; f.respondToAll() && f.loop.Clock() < end; {
+		time.Sleep(closeRetryInterval)
+	}
 	for client := range f.clients {
 		client.conn.ReadAll()
 		client.rejectOpen()
@@ -82,6 +93,17 @@
 	}
 }
 
+// respondToAll responds to what all clients have sent. It reports whether that has failed for lack of buffers.
+func (f *Front) respondToAll() (lacksBuffers bool) {
+	for client := range f.clients {
+		client.conn.ReadAll()
+		client.rejectOpen()
+		client.conn.Flush()
+		lacksBuffers = lacksBuffers || client.conn.LacksResource()
+	}
+	return lacksBuffers
+}
+
 // Listen starts to accept clients and returns the address that it listens on. It listens at addr, or on the
 // inherited listening socket fd if fd is above 0. An inherited socket belongs to the platform that starts the
 // orchestrator. The platform passes the socket on from one process to the next. For an inherited socket whose address
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -41,6 +41,7 @@
 	delivering  bool   // true while the handler's Data is called
 	interest    uint32 // epoll events that the descriptor is watched for
 	flushTimer  *Timer // sends the output after a write that failed for lack of a resource
+	readFailed  bool   // the last read failed for lack of a resource
 
 	input       []byte // received bytes that the handler has not used yet
 	output      []byte // bytes passed to Write that the kernel has not accepted yet
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -33,6 +33,7 @@
 	for i := 0; i < maxReadsPerTurn && !c.closed; i++ {
 		startedAt := c.loop.Clock()
 		n, err := unix.Read(c.fd, buffer)
+		c.readFailed = isTransient(err)
 		switch err {
 		case nil:
 		case unix.EINTR:
@@ -41,7 +42,7 @@
 			c.emptyAt = startedAt
 			return true, nil
 		default:
-			if isTransient(err) {
+			if c.readFailed {
 				return false, nil
 			}
 			return false, &OpError{Op: "read", Err: err}
--- a/internal/eventloop/transient.go
+++ b/internal/eventloop/transient.go
@@ -20,6 +20,9 @@
 	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM) || errors.Is(err, unix.ENOSPC)
 }
 
+// LacksResource reports whether the last read or write of the connection failed for lack of a resource of the system.
+func (c *Conn) LacksResource() bool { return !c.closed && (c.readFailed || c.flushTimer.Pending()) }
+
 // retryFlush sends the output later.
 func (c *Conn) retryFlush() {
 	if c.flushTimer.Pending() {
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -43,6 +43,7 @@
 // flush writes as much of the output as the kernel accepts. It returns [ErrOverflow] if more than maxBuffered bytes
 // are left. It never closes the connection.
 func (c *Conn) flush() error {
+	c.flushTimer.Stop()
 	for c.established && !c.closed && len(c.output) > 0 {
 		n, err := unix.Write(c.fd, c.output)
 		if n > 0 {
