Judge in the soak how long clients wait on connections, and test the ends of quiet gRPC connections

Change: clients ping; a ping has to be answered within a second or its connection to end. A connection that sends nothing or half a message has to end within the 3 s of the protocol. The times of the gRPC server are a parameter, for tests.

--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -52,18 +52,21 @@
 	// firstMessageTimeout is the maximum time for a new connection to complete its HTTP/2 handshake, and for
 	// a new stream to open its session.
 	firstMessageTimeout = 1500 * time.Millisecond
-	// maxIdle is the time after which a connection without calls is closed.
-	maxIdle = 30 * time.Second
-	// pingInterval is the time without received data after which the server pings the client of a connection.
-	pingInterval = 20 * time.Second
-	// pingTimeout is the maximum time that the server waits for the reply to its ping. If no reply arrives
-	// within this time, the server closes the connection.
-	pingTimeout = 5 * time.Second
 	// minClientPingInterval is the minimum time between two pings from a client. The server closes a connection
 	// whose client repeatedly pings more often.
 	minClientPingInterval = 5 * time.Second
 )
 
+// connectionTimes are the times after which the server ends a connection that nothing happens on.
+type connectionTimes struct {
+	maxIdle      time.Duration // time after which a connection without calls is closed
+	pingInterval time.Duration // time without received data after which the server pings the client
+	pingTimeout  time.Duration // time after a ping without a reply after which the server closes the connection
+}
+
+// defaultConnectionTimes are the times of a Front that New returns.
+var defaultConnectionTimes = connectionTimes{maxIdle: 30 * time.Second, pingInterval: 20 * time.Second, pingTimeout: 5 * time.Second}
+
 // Loop is the part of the event loop that the front uses. Post may be called from any goroutine; Now and
 // After may be called on the event loop only. Now returns the Unix time in microseconds.
 type Loop interface {
@@ -121,6 +124,10 @@
 // New returns a front that uses the given loop, dispatcher and transport credentials. The front serves no
 // connections until Serve is called.
 func New(loop Loop, dispatcher Dispatcher, creds credentials.TransportCredentials) *Front {
+	return newWithTimes(loop, dispatcher, creds, defaultConnectionTimes)
+}
+
+func newWithTimes(loop Loop, dispatcher Dispatcher, creds credentials.TransportCredentials, times connectionTimes) *Front {
 	f := &Front{loop: loop, dispatcher: dispatcher, sessions: map[string]*session{}, health: health.NewServer()}
 	f.SetLog(slog.New(slog.DiscardHandler))
 	f.closed, f.endWatches = context.WithCancel(context.Background())
@@ -133,7 +140,7 @@
 		grpc.StreamInterceptor(f.endWatchAtClose),
 		grpc.ReadBufferSize(bufferSize),
 		grpc.WriteBufferSize(bufferSize),
-		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle, Time: pingInterval, Timeout: pingTimeout}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: times.maxIdle, Time: times.pingInterval, Timeout: times.pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPingInterval, PermitWithoutStream: true}),
 	)
 	edgepb.RegisterOrchestratorServer(f.server, f)
--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -20,6 +20,7 @@
 	maxOpen      = 4 // maximum number of open requests on one connection
 	maxThinkTime = 40 * time.Millisecond
 	redialPause  = 20 * time.Millisecond
+	dialTimeout  = time.Second
 	// reconnectWindow is the time after the first terminating signal during which a client still reconnects if
 	// its connection ends.
 	reconnectWindow = 400 * time.Millisecond
@@ -46,13 +47,16 @@
 	lastID   int
 	conn     *testbed.Client
 	record   *connection
-	open     map[string]bool // IDs of the requests on the connection that have no response and were not cancelled
-	retryKey string          // key of the task that the next submission retries, "" if there is no task to retry
+	lastPing int
+	pings    map[string]func(at time.Time) // record the ends of the waits for the answers to pings, by tag
+	open     map[string]bool               // IDs of the requests on the connection that have no response and were not cancelled
+	retryKey string                        // key of the task that the next submission retries, "" if there is no task to retry
 }
 
 func newClient(s *scenario, p *process, index int) *client {
 	stream := uint64(40 + p.index*1000 + index)
-	return &client{scenario: s, process: p, index: index, random: rand.New(rand.NewPCG(s.plan.seed, stream)), open: map[string]bool{}}
+	return &client{scenario: s, process: p, index: index, random: rand.New(rand.NewPCG(s.plan.seed, stream)), open: map[string]bool{},
+		pings: map[string]func(at time.Time){}}
 }
 
 // run connects and uses connections until the process has exited.
@@ -113,6 +117,7 @@
 // recordConnectionEnd records that the connection has ended. It uses the time when the connection detected its end,
 // because the client may notice the end later: it does not receive while it pauses within a submission.
 func (c *client) recordConnectionEnd() {
+	c.pingsEnded(c.conn.EndedAt())
 	c.scenario.ledger.connectionEnded(c.open, c.conn.EndedAt())
 }
 
@@ -124,6 +129,8 @@
 		return false
 	case draw < 6:
 		c.cancel()
+	case draw >= 190:
+		c.ping()
 	case len(c.open) < maxOpen:
 		c.submit(draw < 20)
 	}
@@ -132,6 +139,7 @@
 
 // leave closes the connection. The client thereby abandons all open requests of the connection.
 func (c *client) leave() {
+	c.pingsEnded(time.Now())
 	c.scenario.ledger.left(c.open, time.Now())
 	c.scenario.ledger.closed(c.record, time.Now())
 	testbed.CloseQuietly(c.conn)
@@ -214,6 +222,10 @@
 // receive handles a message from the process, and confirms a completion. If the first response to a request is a FINISH message, the next
 // submission retries its task with a probability of one third.
 func (c *client) receive(line testbed.Line) {
+	if line.Verb == "ECHOED" {
+		c.pingAnswered(line)
+		return
+	}
 	key, isResponse := c.scenario.received(line, time.Now())
 	if !isResponse {
 		c.confirm(line)
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -23,19 +23,19 @@
 // scenarios without details. Requests without a response because they and the end of their connection crossed each other
 // count as crossed, which is no violation.
 type verdict struct {
-	requests, afterSIGTERM, crossed                                                            int
-	lost, late, unreported, early, duplicates, afterLeave, toDraining, uncleanExits, overLimit int
-	oldestCrossed                                                                              time.Duration // time from the oldest crossed request to the end of its connection
-	firstViolation                                                                             string
+	requests, afterSIGTERM, crossed                                                                         int
+	lost, late, unreported, early, duplicates, afterLeave, toDraining, uncleanExits, overLimit, leftWaiting int
+	oldestCrossed                                                                                           time.Duration // time from the oldest crossed request to the end of its connection
+	firstViolation                                                                                          string
 }
 
 func (v verdict) violations() int {
-	return v.lost + v.late + v.unreported + v.early + v.duplicates + v.afterLeave + v.toDraining + v.uncleanExits + v.overLimit
+	return v.lost + v.late + v.unreported + v.early + v.duplicates + v.afterLeave + v.toDraining + v.uncleanExits + v.overLimit + v.leftWaiting
 }
 
 func (v verdict) String() string {
-	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d oldest_crossed=%s lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d",
-		v.requests, v.afterSIGTERM, v.crossed, v.oldestCrossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit)
+	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d oldest_crossed=%s lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d left_waiting=%d",
+		v.requests, v.afterSIGTERM, v.crossed, v.oldestCrossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit, v.leftWaiting)
 }
 
 func (v *verdict) add(other verdict) {
@@ -52,6 +52,7 @@
 	v.toDraining += other.toDraining
 	v.uncleanExits += other.uncleanExits
 	v.overLimit += other.overLimit
+	v.leftWaiting += other.leftWaiting
 }
 
 // addViolation increments a count and keeps the details of the first violation.
@@ -82,6 +83,7 @@
 		v.addViolation(&v.lost, "lost (refused connection)", "a connection was refused while the process must still accept connections")
 	}
 	s.judgeDuplicates(&v)
+	s.judgeWaits(&v)
 	for _, p := range s.processes {
 		s.judgeDrains(&v, p)
 	}
--- a/test/soak/judges_test.go
+++ b/test/soak/judges_test.go
@@ -81,3 +81,28 @@
 		})
 	}
 }
+
+// TestJudgeOfWaits tests that judgeWaits counts a client that waits for longer than its limit, and nothing else.
+func TestJudgeOfWaits(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		endedAt time.Time // end of the wait, zero if the client never got what it waited for
+		exitAt  time.Time // end of the scenario
+		want    int
+	}{
+		{"answered in time", at(1040), at(5000), 0},
+		{"answered late", at(1060), at(5000), 1},
+		{"never answered", time.Time{}, at(5000), 1},
+		{"the process ended before", time.Time{}, at(900), 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &scenario{t: t, ledger: newLedger(), endedAt: test.exitAt}
+			s.ledger.allWaits = []*wait{{process: &process{}, since: at(0), limit: pingLimit, endedAt: test.endedAt}}
+			var got verdict
+			s.judgeWaits(&got)
+			if got.leftWaiting != test.want {
+				t.Errorf("left waiting: got %d, want %d", got.leftWaiting, test.want)
+			}
+		})
+	}
+}
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -40,6 +40,7 @@
 type ledger struct {
 	mu                 sync.Mutex
 	requests           map[string]*request
+	allWaits           []*wait
 	refusedConnections int // number of connections that a process refused although it had to accept new connections
 }
 
--- a/test/soak/life_test.go
+++ b/test/soak/life_test.go
@@ -26,6 +26,7 @@
 	processes []*process
 	pauses    testbed.PauseMeter
 	done      chan struct{} // closed once the last process has exited
+	endedAt   time.Time     // time at which done was closed
 }
 
 // worker is a stand-in worker with the path to it and the record of its faults.
@@ -118,6 +119,7 @@
 		exits.Go(p.stopOrKill)
 	}
 	exits.Wait()
+	s.endedAt = time.Now()
 	close(s.done)
 	group.Wait()
 	return s
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -283,14 +282,11 @@
 		if !p.scenario.sleep(stalledConnectionsInterval) || !p.IsRunning() {
 			return
 		}
-		conn, err := net.Dial("tcp", p.address)
+		conn, err := p.stall(i%2 == 0)
 		if err != nil {
 			return
 		}
 		defer testbed.CloseQuietly(conn)
-		if i%2 == 0 {
-			_, _ = conn.Write([]byte(`{"verb":"START","tag":"9b1f`)) // a write error is ignored: the process may have closed the connection
-		}
 	}
 	<-p.Ended()
 }
