--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -20,9 +20,6 @@
 	// maxRedialBackoffWithTasks replaces maxRedialBackoff while tasks run at the worker. Their completions can only arrive on a
 	// new connection, and must be reported to the client within 1 s of the worker's report.
 	maxRedialBackoffWithTasks = 500 * millisecond
-	// silentAfter is the time after which a worker at which tasks run counts as silent. It is longer than maxReadGap, after
-	// which another connection is dialled, which an idle worker accepts.
-	silentAfter = maxReadGap + second
 	// maxConns is the maximum number of connections to one worker, without those for late completions.
 	maxConns = 4
 )
@@ -216,23 +213,6 @@
 	l.dialForLateCompletions(tasks, now)
 }
 
-// heard records that data was received from the worker, or that a connection to it was established.
-func (l *link) heard(now int64) {
-	if l.isSilent {
-		l.isSilent = false
-		l.pool.log.Warn("worker heard again", "worker", l.workerID, "quiet_us", now-l.heardAt)
-	}
-	l.heardAt, l.failedDials = now, 0
-}
-
-// logSilence logs once that a worker at which tasks run has not been heard for silentAfter.
-func (l *link) logSilence(tasks dispatch.TaskSummary, now int64) {
-	if tasks.Count > 0 && !l.isSilent && now-max(l.heardAt, l.listedAt) > silentAfter {
-		l.isSilent = true
-		l.pool.log.Warn("worker silent", "worker", l.workerID, "tasks", tasks.Count, "connections", len(l.conns), "quiet_us", now-l.heardAt)
-	}
-}
-
 // connClosed handles the end of a connection that did not end through workerConn.close. The connection is already
 // removed from the link.
 func (l *link) connClosed(err error) {
--- a/internal/workerpool/liveness.go
+++ b/internal/workerpool/liveness.go
@@ -1,16 +1,9 @@
 package workerpool
 
-// This file decides from refused connections and restarts whether a worker's process has died, and from silence whether its
-// machine may have vanished. It must never report a worker as dead that may be alive.
+// This file decides from refused connections and restarts whether a worker's process has died. It must never report a
+// worker as dead that may be alive.
 
-import (
-	"errors"
-	"slices"
-
-	"golang.org/x/sys/unix"
-
-	"ravenhitch/internal/eventloop"
-)
+import "slices"
 
 const (
 	// deadAfterRefused is how long a worker may refuse connections, and send nothing on its open connections,
@@ -19,11 +12,6 @@
 	deadAfterRefused = 2 * second
 	// deadAfterRefusedUnpinged replaces deadAfterRefused if the deployment does not allow pings.
 	deadAfterRefusedUnpinged = 4 * second
-	// vanishedAfter is how long nothing is heard from a worker, and no connection to it comes up, before its machine is
-	// considered vanished. A sweep later, the time is still below the 8 s within which a client must be notified.
-	vanishedAfter = 7 * second
-	// vanishedAfterDials is the number of connections in a row that do not come up before a machine is considered vanished.
-	vanishedAfterDials = 3
 )
 
 // applyRestart ends the tasks that ran at the worker before its process was restarted, as soon as no connection that
@@ -73,21 +61,6 @@
 	})
 }
 
-// reportVanished reports a worker whose machine may have vanished: it has been silent for vanishedAfter, and connections to
-// it do not come up. A machine that is only cut off looks the same. If the worker's process hangs, connections come up.
-func (l *link) reportVanished(now int64) {
-	silentSince := now - vanishedAfter
-	if max(l.heardAt, l.listedAt) > silentSince || l.failedDials < vanishedAfterDials {
-		return
-	}
-	l.pool.reportLater(func() { l.pool.dispatcher.WorkerVanished(l.pool.loop.Now(), l.workerID, silentSince) })
-}
-
-// isUnanswered reports whether a connection was not established because nothing answered.
-func isUnanswered(err error) bool {
-	return errors.Is(err, eventloop.ErrTimeout) || errors.Is(err, unix.ETIMEDOUT) || errors.Is(err, unix.EHOSTUNREACH)
-}
-
 // pingAll pings the worker on all connections that are up, if the deployment allows pings.
 func (l *link) pingAll() {
 	if !l.pool.pingsAllowed {
--- a/test/delivery/completion_test.go
+++ b/test/delivery/completion_test.go
@@ -23,7 +23,7 @@
 	requestTimeoutMs = 5000
 )
 
-// orchestrator is a process of the program with one worker, which the test plays itself.
+// orchestrator is a process of the program. Its worker is a listener of the test, unless discovery lists stand-ins.
 type orchestrator struct {
 	testbed.Process
 	t       *testing.T
@@ -44,15 +44,24 @@
 
 // newOrchestrator builds the program and writes its configuration.
 func newOrchestrator(t *testing.T) *orchestrator {
+	t.Helper()
+	listener, discovery := nettest.Listen(t), testbed.NewDiscovery(t)
+	discovery.Add(true, fmt.Sprintf(`{"id":"s-1","host_port":%q,"locality":"hall-a","flavor":"node-64","cell":1,"phase":"up","size":1,`+
+		`"up_since_ms":0,"spare":[32,64]}`, listener.Addr()))
+	o := newOrchestratorOf(t, discovery)
+	o.worker = listener
+	return o
+}
+
+// newOrchestratorOf builds the program and writes its configuration, with the workers that discovery lists.
+func newOrchestratorOf(t *testing.T, discovery *testbed.Discovery) *orchestrator {
 	t.Helper()
 	directory := t.TempDir()
 	binary, err := testbed.BuildProgram(directory)
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := &orchestrator{t: t, worker: nettest.Listen(t), directory: directory, discovery: testbed.NewDiscovery(t)}
-	o.discovery.Add(true, fmt.Sprintf(`{"id":"s-1","host_port":%q,"locality":"hall-a","flavor":"node-64","cell":1,"phase":"up","size":1,`+
-		`"up_since_ms":0,"spare":[32,64]}`, o.worker.Addr()))
+	o := &orchestrator{t: t, directory: directory, discovery: discovery}
 	path := o.configure("")
 	if err := os.WriteFile(path+".conf", []byte("[log]\nlevel debug\n"), 0o600); err != nil {
 		t.Fatal(err)
@@ -149,12 +158,12 @@
 	testbed.Send(c, testbed.Line{Verb: "STARTED", Tag: requestID, Opts: map[string]string{}, Blob: &blob})
 }
 
-// waitFor returns the next message with the given verb and request ID that a client receives.
-func waitFor(t *testing.T, client *testbed.Client, verb, requestID string) testbed.Line {
+// waitFor waits for a message with the given verb and request ID that a client receives.
+func waitFor(t *testing.T, client *testbed.Client, verb, requestID string) {
 	t.Helper()
 	for {
 		if line := testbed.Wait(t, verb+" "+requestID, client.Lines); line.Verb == verb && line.Tag == requestID {
-			return line
+			return
 		}
 	}
 }
--- a/test/delivery/cut_test.go
+++ b/test/delivery/cut_test.go
@@ -1,9 +1,6 @@
 package delivery
 
 import (
-	"os"
-	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
 
@@ -12,54 +9,23 @@
 
 // This file tests the ends of tasks at workers that are cut off from the orchestrator for a while, or for good.
 
-// cutFleet is a process of the program with one stand-in worker behind a proxy.
+// cutFleet is a process of the program with one stand-in worker behind a proxy, and a client.
 type cutFleet struct {
-	testbed.Process
-	t       *testing.T
-	worker  *testbed.Worker
-	proxy   *testbed.Proxy
-	client  *testbed.Client
-	address string
+	*orchestrator
+	worker *testbed.Worker
+	proxy  *testbed.Proxy
+	client *testbed.Client
 }
 
 func startCutFleet(t *testing.T) *cutFleet {
 	t.Helper()
-	directory := t.TempDir()
-	binary, err := testbed.BuildProgram(directory)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &cutFleet{t: t, worker: testbed.NewWorker(t, "s-1")}
-	f.worker.Kind = "node-64"
-	f.proxy = testbed.NewProxy(t, f.worker)
-	discovery := testbed.NewDiscovery(t)
-	discovery.Add(true, f.worker.ListEntry("up"))
-	channel := discovery.Server.Listener.Addr().String()
-	config := filepath.Join(directory, "config.json")
-	settings := testbed.Deployment{Orchestrators: 1}.Config(0, "127.0.0.1:0", "", channel, 1, discovery)
-	for path, text := range map[string]string{config: settings, config + ".conf": "[log]\nlevel debug\n"} {
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	f.Name, f.Bin, f.Args = "n0", binary, []string{"-conf", config + ".conf"}
-	f.Env = []string{"ROUTER_CONFIG=" + config, "ROUTER_LISTEN=", "ROUTER_NAME=", "ROUTER_MGMT=", "TMPDIR=" + directory}
-	t.Cleanup(func() {
-		f.End(syscall.SIGKILL)
-		if t.Failed() {
-			for _, line := range f.Lines() {
-				t.Log(line)
-			}
-		}
-	})
-	if err := f.Start(); err != nil {
-		t.Fatal(err)
-	}
-	if f.address, err = f.WaitForLog("msg=serving name=n0 listen="); err != nil {
-		t.Fatal(err)
-	}
-	f.client = testbed.NewClient(t, f.address)
-	return f
+	worker, discovery := testbed.NewWorker(t, "s-1"), testbed.NewDiscovery(t)
+	worker.Kind = "node-64"
+	proxy := testbed.NewProxy(t, worker)
+	discovery.Add(true, worker.ListEntry("up"))
+	o := newOrchestratorOf(t, discovery)
+	o.start()
+	return &cutFleet{o, worker, proxy, testbed.NewClient(t, o.address)}
 }
 
 // startTasks starts count tasks, with the request IDs from 1.
--- a/test/delivery/restart_client_test.go
+++ b/test/delivery/restart_client_test.go
@@ -94,15 +94,10 @@
 func (s *restartScenario) submitAll(index int) {
 	random := rand.New(rand.NewPCG(s.seed, uint64(100+index)))
 	for s.sleep(10 * time.Millisecond) {
-		s.mu.Lock()
-		address, life := s.path.Addr(), s.life
-		s.mu.Unlock()
-		client, err := testbed.DialWithin(address, dialTimeout)
+		client, received, err := s.connect()
 		if err != nil {
 			continue
 		}
-		received := make(chan struct{})
-		go func() { s.receiveAll(client, life); close(received) }()
 		s.submitOn(client, random, received)
 		if s.isCalm() {
 			testbed.Send(client, testbed.Line{Verb: "ECHO", Tag: testbed.RequestID(0), Opts: map[string]string{}})
@@ -115,6 +110,19 @@
 	}
 }
 
+// connect connects a client to the current process and receives what it sends. received is closed when the connection ends.
+func (s *restartScenario) connect() (client *testbed.Client, received <-chan struct{}, err error) {
+	s.mu.Lock()
+	address, life := s.path.Addr(), s.life
+	s.mu.Unlock()
+	if client, err = testbed.DialWithin(address, dialTimeout); err != nil {
+		return nil, nil, err
+	}
+	ended := make(chan struct{})
+	go func() { s.receiveAll(client, life); close(ended) }()
+	return client, ended, nil
+}
+
 func (s *restartScenario) submitOn(client *testbed.Client, random *rand.Rand, ended <-chan struct{}) {
 	for !s.isCalm() {
 		select {
--- a/test/delivery/termination_test.go
+++ b/test/delivery/termination_test.go
@@ -66,15 +66,10 @@
 // stayConnected keeps a connection to the current process open until the scenario is done, as a client does whose tasks run.
 func (s *restartScenario) stayConnected() {
 	for s.sleep(5 * time.Millisecond) {
-		s.mu.Lock()
-		address, life := s.path.Addr(), s.life
-		s.mu.Unlock()
-		client, err := testbed.DialWithin(address, dialTimeout)
+		client, received, err := s.connect()
 		if err != nil {
 			continue
 		}
-		received := make(chan struct{})
-		go func() { s.receiveAll(client, life); close(received) }()
 		testbed.Send(client, testbed.Line{Verb: "ECHO", Tag: testbed.RequestID(0), Opts: map[string]string{}})
 		select {
 		case <-received:
