Keep gRPC connections whose reads or writes fail for a moment for lack of buffers

Callers would see: all their calls and streams end with UNAVAILABLE, with offers that were read and got no response.

Cause: the gRPC server ends a connection at any error of a read or write.

--- a/internal/grpcfront/accept_test.go
+++ b/internal/grpcfront/accept_test.go
@@ -40,6 +40,56 @@
 	}
 }
 
+// failingConn is a connection whose reads and writes fail a number of times, each after a part of a write.
+type failingConn struct {
+	net.Conn
+	failures int
+	written  string
+}
+
+func (c *failingConn) fail() error {
+	if c.failures == 0 {
+		return nil
+	}
+	c.failures--
+	return &net.OpError{Op: "write", Err: os.NewSyscallError("write", unix.ENOBUFS)}
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	err := c.fail()
+	if err != nil {
+		b = b[:1]
+	}
+	c.written += string(b)
+	return len(b), err
+}
+
+func (c *failingConn) Read(b []byte) (int, error) {
+	if err := c.fail(); err != nil {
+		return 0, err
+	}
+	return copy(b, "read"), nil
+}
+
+// Guards against a connection that ends, with all calls on it, because the system is out of buffers for a moment. What was
+// written before an error is not written again.
+func TestTransferErrorsThatPass(t *testing.T) {
+	inner := &failingConn{failures: 2}
+	conn := retryingConn{inner}
+	if n, err := conn.Write([]byte("written")); n != len("written") || err != nil || inner.written != "written" {
+		t.Errorf("Write: got %d, error %v, written %q; want 7, no error and the message once", n, err, inner.written)
+	}
+	inner.failures = 2
+	b := make([]byte, 16)
+	if n, err := conn.Read(b); err != nil || string(b[:n]) != "read" {
+		t.Errorf("Read: got %q, error %v, want the message", b[:n], err)
+	}
+	inner.failures = maxTransferRetries + 1
+	if _, err := conn.Read(b); !errors.Is(err, unix.ENOBUFS) {
+		t.Errorf("Read that fails for long: got error %v, want ENOBUFS", err)
+	}
+}
+
 // Guards against a client that waits for its connection to be accepted for as long as others keep theirs. A connection above
 // the maximum is closed; once another one has ended, the next is accepted.
 func TestConnectionAboveMaximumIsClosed(t *testing.T) {
