Notice a wrong system clock by the first start that discovery reports

Callers would see: a task whose worker restarted unnoticed never ends, and a worker that has just started gets offers as a warm one, if this host's clock was off when the process started and discovery sends no Date header.

Class of bug: times of two clocks compared, where one may be wrong.

Cause: without a Date header nothing showed that the clock was wrong, so that a start of seconds ago counted as one of an hour ago, or the other way round.

Change: an event reports a start within 20 s. If it seems older, or still to come, the host's clock is wrong: the clock of discovery is then bounded by the starts that it reports, and known starts are converted again. They may be taken for up to 20 s too late, which is safe for slow start. Which tasks a restart has ended is then told by the connections that are up: the restart ended those before.

Steps of less than about 20 s are still not noticed without one.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -16,7 +16,7 @@
 // higher already. If cached is true, the events come from the configuration, and their information about workers may
 // be outdated.
 func (f *Follower) Apply(update config.Update, cached bool) {
-	f.convertStartTimes(update)
+	f.convertStartTimes(update, cached)
 	if cached {
 		f.applyCached(update)
 	} else {
@@ -26,7 +26,7 @@
 }
 
 // convertStartTimes converts the start times of the workers in an update to the clock of the event loop.
-func (f *Follower) convertStartTimes(update config.Update) {
+func (f *Follower) convertStartTimes(update config.Update, cached bool) {
 	f.startTimes.observe(f.loop.SystemClock(), f.loop.Clock())
 	for _, event := range update.Events {
 		if event.Cursor <= f.cursor {
@@ -34,6 +34,9 @@
 		}
 		for i := range event.Workers {
 			worker := &event.Workers[i]
+			if !cached && !event.Complete {
+				f.correctStartTimes(f.startTimes.observeStart(worker.Worker, worker.StartedAtUs, f.loop.SystemClock(), f.loop.Clock()))
+			}
 			worker.StartedAtUs = f.startTimes.convert(worker.Worker, worker.StartedAtUs, f.loop.Now())
 			if worker.State == placement.Removed {
 				f.startTimes.forget(worker.Worker)
@@ -48,15 +51,28 @@
 	if date == 0 {
 		return
 	}
-	changed := f.startTimes.observeDate(date, f.loop.SystemClock(), f.loop.Clock())
+	f.correctStartTimes(f.startTimes.observeDate(date, f.loop.SystemClock(), f.loop.Clock()))
+}
+
+// correctStartTimes replaces the start times of workers that were converted with a wrong clock.
+func (f *Follower) correctStartTimes(changed map[string]int64) {
 	if len(changed) == 0 {
 		return
 	}
 	f.log.Warn("system clock differs from that of discovery", "workers", len(changed))
 	f.dispatcher.CorrectStartTimes(f.loop.Now(), changed)
 	for _, worker := range slices.Sorted(maps.Keys(changed)) {
-		f.pool.UpdateWorkerStart(worker, changed[worker])
+		f.updateStart(worker, changed[worker])
+	}
+}
+
+// updateStart applies the start time of a worker to the pool.
+func (f *Follower) updateStart(worker string, startedAt int64) {
+	if f.startTimes.server.isCoarse() {
+		f.pool.UpdateLatestWorkerStart(worker, startedAt)
+		return
 	}
+	f.pool.UpdateWorkerStart(worker, startedAt)
 }
 
 // applyLive applies each new event to the pool and the shard assignment, and passes each to the scheduler as a
@@ -108,7 +124,7 @@
 	f.updateAssignment(event.Workers, event.Complete)
 	for _, member := range event.Workers {
 		f.pool.UpdateWorker(member.Worker, member.Addr, member.State != placement.Removed)
-		f.pool.UpdateWorkerStart(member.Worker, member.StartedAtUs)
+		f.updateStart(member.Worker, member.StartedAtUs)
 	}
 }
 
--- a/internal/discovery/start_times.go
+++ b/internal/discovery/start_times.go
@@ -4,7 +4,7 @@
 // loop. That clock does not follow a step of the system's clock. A start time may have been taken before a step or
 // after it, so the most recent time that it can stand for counts: slow start must not take a worker that has just
 // started for one that is warm. This file must never convert the same start time of a worker to two different times,
-// unless the first response of discovery shows that the clock of this host was wrong when the process started.
+// unless the first response or the first start shows that the clock of this host was wrong when the process started.
 
 import "maps"
 
@@ -71,6 +71,25 @@
 	return min(latest, now)
 }
 
+// observeStart records a start of a worker that a live event reports for the first time, and what both clocks of this host
+// show. If discovery sends no dates, and the start shows that the clock of this host is wrong, observeStart converts the
+// known start times again and returns those that change, by worker. The clock of discovery is then known coarsely: each
+// start is taken for later than it is, by up to maxReportDelay.
+func (s *startTimes) observeStart(worker string, start, system, loop int64) (changed map[string]int64) {
+	if known, ok := s.converted[worker]; start == 0 || ok && known.system == start {
+		return nil
+	}
+	switch {
+	case s.server.isCoarse():
+		s.server.observeStart(start, loop)
+		return nil
+	case s.server.known || !contradictsStart(system-loop, start, loop):
+		return nil
+	}
+	s.server.observeStart(start, loop)
+	return s.reconvert(system, loop)
+}
+
 // observeDate records the date of a response of discovery, in microseconds, and what both clocks of this host show. If it
 // is the first one and shows that the clock of this host has been wrong so far, observeDate converts the known start times
 // again and returns those that change, by worker.
@@ -80,6 +99,12 @@
 	if offset := system - loop; !isFirst || s.server.correct(offset) == offset {
 		return nil
 	}
+	return s.reconvert(system, loop)
+}
+
+// reconvert converts the known start times with the differences between the clocks that are known now, and returns those
+// that change, by worker.
+func (s *startTimes) reconvert(system, loop int64) (changed map[string]int64) {
 	s.offsets = nil
 	s.observe(system, loop)
 	changed = map[string]int64{}
--- a/internal/discovery/start_times_test.go
+++ b/internal/discovery/start_times_test.go
@@ -48,3 +48,45 @@
 		t.Errorf("convert(0) = %d, want 0 for a start long ago", got)
 	}
 }
+
+// Guards against a host whose clock was wrong when the process started, while discovery sends no dates: a worker that has just
+// started would count as warm, and the tasks of its earlier process as running. The first start that an event reports shows the
+// error, by how old it seems, or by being still to come.
+func TestFirstStartCorrectsStartTimes(t *testing.T) {
+	const (
+		earlier  = began - 5*second // start of another worker, from the configuration
+		start    = began + 60*second
+		reported = start + 3*second
+	)
+	for _, wrong := range []int64{-hour, -30 * second, 0, 30 * second, hour} {
+		var times startTimes
+		times.observe(began+wrong, began)
+		times.convert("b", earlier, began)
+		changed := times.observeStart("a", start, reported+wrong, reported)
+		if isWrong := wrong != 0; (changed["b"] != 0) != isWrong || times.server.isCoarse() != isWrong {
+			t.Errorf("host %d s off: start times that change: %v, want that of b only if the host is wrong", wrong/second, changed)
+		}
+		times.observe(reported+wrong, reported)
+		if got := times.convert("a", start, reported); got < start || got > reported {
+			t.Errorf("host %d s off: the start is %d s after the true one, want at most the %d s to its report",
+				wrong/second, (got-start)/second, (reported-start)/second)
+		}
+		if got := times.convert("b", earlier, reported); got < earlier || got > earlier+reported-start {
+			t.Errorf("host %d s off: the earlier start is %d s after the true one, want at most %d s", wrong/second,
+				(got-earlier)/second, (reported-start)/second)
+		}
+	}
+}
+
+// A start that is reported at once narrows what a start that was reported late has shown.
+func TestLaterStartsNarrowTheServerClock(t *testing.T) {
+	const late = 7 * second
+	var times startTimes
+	times.observe(began+hour, began)
+	times.observeStart("a", began+10*second-late, began+10*second+hour, began+10*second)
+	times.observeStart("b", began+20*second, began+20*second+hour, began+20*second)
+	times.observe(began+30*second+hour, began+30*second)
+	if got := times.convert("c", began+25*second, began+30*second); got != began+25*second {
+		t.Errorf("a start is %d us after the true one, want none", got-(began+25*second))
+	}
+}
--- a/internal/testbed/discovery.go
+++ b/internal/testbed/discovery.go
@@ -20,10 +20,12 @@
 // Discovery serves the list of workers to orchestrators that poll it over HTTP, as the discovery service does.
 type Discovery struct {
 	Server *httptest.Server
-	Polls  chan int // receives, for each poll, the number of the last event that the caller has applied
-	mu     sync.Mutex
-	added  chan struct{} // closed and replaced by each call of Add
-	events []string
+	// OmitDate makes the responses have no Date header. It must be set before the first poll.
+	OmitDate bool
+	Polls    chan int // receives, for each poll, the number of the last event that the caller has applied
+	mu       sync.Mutex
+	added    chan struct{} // closed and replaced by each call of Add
+	events   []string
 }
 
 // NewDiscovery starts a server without events. The server is closed at the end of the test or rehearsal.
@@ -58,6 +60,9 @@
 		}
 		break
 	}
+	if d.OmitDate {
+		w.Header()["Date"] = nil
+	}
 	_, _ = io.WriteString(w, d.PollResponse(after)) // write errors are ignored: a caller whose connection has ended polls again
 }
 
--- a/internal/workerpool/conn.go
+++ b/internal/workerpool/conn.go
@@ -47,6 +47,7 @@
 	established bool  // true from when the connection is established, even after it is closed
 	dialledAt   int64 // time of the dial
 	lastReadAt  int64 // time at which data was last received, or at which the connection was established
+	hasRead     bool  // data was received
 	lastUsedAt  int64 // time of the dial, or at which the connection was last chosen for an offer, release or probe
 	aliveUntil  int64 // time until which the last known TCP acknowledgement proves that the connection is alive
 
@@ -250,7 +251,7 @@
 // Data implements eventloop.Handler.
 func (c *workerConn) Data(_ *eventloop.Conn, b []byte) (int, error) {
 	loop := c.link.pool.loop
-	c.lastReadAt, c.link.refusedSince = loop.Now(), 0
+	c.lastReadAt, c.hasRead, c.link.refusedSince = loop.Now(), true, 0
 	c.link.heard(loop.Now())
 	used, err := jsonlines.ForEachLine(b, c.handleLine)
 	if used > 0 {
--- a/internal/workerpool/link.go
+++ b/internal/workerpool/link.go
@@ -38,6 +38,8 @@
 	// the tasks that ran at the worker.
 	processStartedAt int64
 	restartPending   bool
+	// startIsLatest is true if the process may have started earlier than processStartedAt, because this host's clock is wrong.
+	startIsLatest bool
 
 	conns         []*workerConn // oldest first; new messages are sent on the last one
 	redialBackoff int64         // delay of the last redial, 0 if a connection was established since
--- a/internal/workerpool/link_test.go
+++ b/internal/workerpool/link_test.go
@@ -136,3 +136,27 @@
 			lt.dispatcher.IsRunning("t2"), lt.dispatcher.IsRunning("t3"))
 	}
 }
+
+// The start of a worker's process is known to be no later than a time, as this host's clock is wrong. Once its process has sent
+// something on the connection that is up, the tasks from before that connection have ended. Those started later run on.
+func TestLatestStartIsBoundedByConnection(t *testing.T) {
+	lt := newLinkTest(t)
+	l := lt.listWorker()
+	lt.adopt("before")
+	lt.runUntil(func() bool { return l.conns[0].conn.IsUp() })
+	c := l.conns[0]
+	c.dialledAt = lt.loop.Now() + 1 // after the adoption
+	lt.pool.UpdateLatestWorkerStart(workerName, c.dialledAt+second)
+	if !lt.dispatcher.IsRunning("before") {
+		t.Fatal("a task ended although nothing came on the connection yet, which may be dead")
+	}
+	c.hasRead = true
+	lt.sweep(l)
+	if lt.dispatcher.IsRunning("before") {
+		t.Error("the task from before the connection is still running")
+	}
+	lt.adopt("later")
+	if startedAt, known := l.restartTime(); !known || startedAt != c.dialledAt {
+		t.Errorf("the process counts as started at %d (known: %v), want the dial at %d", startedAt, known, c.dialledAt)
+	}
+}
--- a/internal/workerpool/liveness.go
+++ b/internal/workerpool/liveness.go
@@ -20,12 +20,33 @@
 // unnoticed otherwise: a worker that dies while it has no connection causes no reset, and if it restarts quickly, it
 // refuses connections only briefly.
 func (l *link) applyRestart() {
-	if !l.restartPending || slices.ContainsFunc(l.conns, l.predatesRestart) {
+	startedAt, known := l.restartTime()
+	if !l.restartPending || !known {
 		return
 	}
 	l.restartPending = false
-	l.pool.log.Debug("worker start applied", "worker", l.workerID, "started_at_us", l.processStartedAt)
-	l.pool.dispatcher.WorkerRestarted(l.pool.loop.Now(), l.workerID, l.processStartedAt)
+	l.pool.log.Debug("worker start applied", "worker", l.workerID, "started_at_us", startedAt)
+	l.pool.dispatcher.WorkerRestarted(l.pool.loop.Now(), l.workerID, startedAt)
+}
+
+// restartTime returns the time at which the worker's process started. It is not known while a connection is up that was
+// dialled before. If only the latest possible time is listed, the process has started before the dial of the first
+// connection that is up, which the restart would have ended; it is not known while such a connection may be dead.
+func (l *link) restartTime() (startedAt int64, known bool) {
+	if !l.startIsLatest {
+		return l.processStartedAt, !slices.ContainsFunc(l.conns, l.predatesRestart)
+	}
+	startedAt = l.processStartedAt
+	for _, c := range l.conns {
+		if !c.conn.IsUp() {
+			continue
+		}
+		if !c.hasRead || l.pool.loop.Now()-c.lastReadAt > maxReadGap {
+			return 0, false
+		}
+		startedAt = min(startedAt, c.dialledAt)
+	}
+	return startedAt, true
 }
 
 // predatesRestart reports whether a connection is up and was dialled before the worker's process started.
--- a/internal/workerpool/pool.go
+++ b/internal/workerpool/pool.go
@@ -219,11 +219,20 @@
 func (p *Pool) UpdateWorkerStart(worker string, startedAt int64) {
 	if l := p.links[worker]; l != nil && startedAt > l.processStartedAt {
 		l.processStartedAt, l.restartPending = startedAt, true
-		p.log.Debug("worker start listed", "worker", worker, "started_at_us", startedAt, "age_us", p.loop.Now()-startedAt)
+		p.log.Debug("worker start listed", "worker", worker, "started_at_us", startedAt, "age_us", p.loop.Now()-startedAt,
+			"is_latest", l.startIsLatest)
 		l.applyRestart()
 	}
 }
 
+// UpdateLatestWorkerStart applies a time that the start of a worker's process is not later than.
+func (p *Pool) UpdateLatestWorkerStart(worker string, latest int64) {
+	if l := p.links[worker]; l != nil && latest > l.processStartedAt {
+		l.startIsLatest = true
+		p.UpdateWorkerStart(worker, latest)
+	}
+}
+
 // RemoveUnlisted removes the workers that are missing from a full list of discovery.
 func (p *Pool) RemoveUnlisted(listed map[string]bool) {
 	for _, l := range p.linksByID() {
--- a/test/delivery/restart_faults_test.go
+++ b/test/delivery/restart_faults_test.go
@@ -90,6 +90,7 @@
 func (s *restartScenario) drawCallFaults(launcher string) {
 	isDrawn := func(stream uint64) bool { return rand.New(rand.NewPCG(s.seed, stream)).IntN(3) == 0 }
 	s.stepsClock = isDrawn(83)
+	s.discovery.OmitDate = rand.New(rand.NewPCG(s.seed, 85)).IntN(2) == 0
 	s.calls = syscallfault.NewWith(launcher, s.seed, syscallfault.Changes{Fail: isDrawn(81), Shorten: isDrawn(82),
 		StepsClock: s.stepsClock, Ports: s.workerPorts()})
 	if s.calls != nil {
