Rely on no clock that discovery's starts have contradicted

Callers would see: a task whose worker restarted never ends, if this host's clock was far off when the process started, then was stepped almost right, and discovery sends no Date header.

Class of bug: times of two clocks compared, where one may be wrong.

Cause: looks at this host's clock as it is when a start is reported. An error that is left below 20 s contradicts no start. A restart of a second ago then counts as one of about 18 s ahead of it in time, before the connections on which tasks had started.

Its log: started 1 h 12 s ahead, stepped to 17 to 18 s ahead, a restart of s-2 reported after 1 s seemed 18 s old, 11 ends were not reported.

Change: a start that contradicts an earlier difference of the two clocks shows as well that this host's clock can't be relied on. The bounds that starts give are then used whatever the clock shows now, and a start that was listed earlier is never taken for later than the list, which it may have been before.

Result: TestStartAfterAnAlmostRightStep fails before (start 17 s before the true one). Left: a clock off by less than about 20 s from the start, without Date headers.

--- a/internal/discovery/server_clock.go
+++ b/internal/discovery/server_clock.go
@@ -56,9 +56,9 @@
 }
 
 // correct returns the difference of this host's system clock to the loop's clock, or the least difference of discovery's
-// clock if this host's clock contradicts it. Start times are then rather too late than too early.
+// clock if this host's clock contradicts it or the bounds are coarse. Start times are then rather too late than too early.
 func (c *serverClock) correct(offset int64) int64 {
-	if c.known && (offset < c.least || offset > c.most) {
+	if c.isCoarse() || c.known && (offset < c.least || offset > c.most) {
 		return c.least
 	}
 	return offset
--- a/internal/discovery/start_times.go
+++ b/internal/discovery/start_times.go
@@ -6,7 +6,10 @@
 // started for one that is warm. This file must never convert the same start time of a worker to two different times,
 // unless the first response or the first start shows that the clock of this host was wrong when the process started.
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 const (
 	// minClockStep is the smallest change of the difference between the two clocks that counts as a step, in
@@ -26,8 +29,9 @@
 	converted map[string]startTime
 }
 
-// startTime is a start time of a worker, on the system's clock and on the loop's clock, in microseconds.
-type startTime struct{ system, loop int64 }
+// startTime is a start time of a worker, on the system's clock and on the loop's clock, and the time of the loop's clock at
+// which it was first listed, in microseconds. The worker has not started later than that.
+type startTime struct{ system, loop, listed int64 }
 
 // observe records what both clocks show at the same moment.
 func (s *startTimes) observe(system, loop int64) {
@@ -53,7 +57,7 @@
 		s.converted = map[string]startTime{}
 	}
 	at := s.latest(system, now)
-	s.converted[worker] = startTime{system, at}
+	s.converted[worker] = startTime{system: system, loop: at, listed: now}
 	return at
 }
 
@@ -72,7 +76,7 @@
 }
 
 // observeStart records a start of a worker that a live event reports for the first time, and what both clocks of this host
-// show. If discovery sends no dates, and the start shows that the clock of this host is wrong, observeStart converts the
+// show. If discovery sends no dates, and the start shows that the clock of this host is or was wrong, observeStart converts the
 // known start times again and returns those that change, by worker. The clock of discovery is then known coarsely: each
 // start is taken for later than it is, by up to maxReportDelay.
 func (s *startTimes) observeStart(worker string, start, system, loop int64) (changed map[string]int64) {
@@ -83,13 +87,21 @@
 	case s.server.isCoarse():
 		s.server.observeStart(start, loop)
 		return nil
-	case s.server.known || !contradictsStart(system-loop, start, loop):
+	case s.server.known || !s.hasBeenWrong(start, system, loop):
 		return nil
 	}
 	s.server.observeStart(start, loop)
 	return s.reconvert(system, loop)
 }
 
+// hasBeenWrong reports whether the clock of this host can't be right, or can't have been before a step, as it contradicts a
+// start that was reported for the first time now. Such a clock may still be wrong by less than a start shows.
+func (s *startTimes) hasBeenWrong(start, system, loop int64) bool {
+	return contradictsStart(system-loop, start, loop) || slices.ContainsFunc(s.offsets, func(offset int64) bool {
+		return contradictsStart(offset, start, loop)
+	})
+}
+
 // observeDate records the date of a response of discovery, in microseconds, and what both clocks of this host show. If it
 // is the first one and shows that the clock of this host has been wrong so far, observeDate converts the known start times
 // again and returns those that change, by worker.
@@ -109,8 +121,9 @@
 	s.observe(system, loop)
 	changed = map[string]int64{}
 	for worker, start := range maps.Clone(s.converted) {
-		if at := s.latest(start.system, loop); at != start.loop {
-			s.converted[worker] = startTime{start.system, at}
+		if at := s.latest(start.system, start.listed); at != start.loop {
+			start.loop = at
+			s.converted[worker] = start
 			changed[worker] = at
 		}
 	}
--- a/internal/discovery/start_times_test.go
+++ b/internal/discovery/start_times_test.go
@@ -90,3 +90,28 @@
 		t.Errorf("a start is %d us after the true one, want none", got-(began+25*second))
 	}
 }
+
+// Guards against a clock that is set almost right by a step: a start that contradicts the clock before the step shows that this
+// host's clock can't be relied on, although the error that is left is too small to be seen. A worker that was restarted just now
+// would count as restarted before the connections on which its tasks had started. The start of a worker that was listed
+// earlier must not become later than the list.
+func TestStartAfterAnAlmostRightStep(t *testing.T) {
+	const (
+		left     = 17 * second // error of the clock after the step
+		earlier  = began - 2*second
+		start    = began + 60*second
+		reported = start + 1*second
+	)
+	var times startTimes
+	times.observe(began+hour, began)
+	times.convert("b", earlier, began)
+	times.observe(reported+left, reported)
+	times.observeStart("a", start, reported+left, reported)
+	times.observe(reported+left, reported)
+	if got := times.convert("a", start, reported); got < start || got > reported {
+		t.Errorf("the start is %d s after the true one, want 0 to 1 s", (got-start)/second)
+	}
+	if got := times.convert("b", earlier, reported); got < earlier || got > began {
+		t.Errorf("the earlier start is %d s after the true one, want 0 to 2 s", (got-earlier)/second)
+	}
+}
