Judge in the restart scenario that no running task is reported as ended

The scenario judged only ends that are missing or late. checkNoneReportedEarly fails if an end is passed on while the worker runs the task; ruleSlack (50 ms) is for the moment in which a worker crashes.

--- a/test/delivery/restart_checks_test.go
+++ b/test/delivery/restart_checks_test.go
@@ -100,6 +100,27 @@
 	}
 }
 
+// checkNoneReportedEarly expects that no task was reported while it ran. ruleSlack allows for the moment in which a worker crashes.
+func (s *restartScenario) checkNoneReportedEarly() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	running := map[string]bool{}
+	for _, w := range s.workers {
+		for _, id := range s.attempts.Running(w.Name) {
+			running[id] = true
+		}
+	}
+	for id, task := range s.tasks {
+		if task.reportedAt.IsZero() {
+			continue
+		}
+		if task.endedAt.IsZero() && running[id] || task.endedAt.Sub(task.reportedAt) > ruleSlack {
+			s.t.Errorf("seed %d: the end of task %s at %s was reported at %s, while it ran", s.seed, id, task.worker.Name, task.reportedAt)
+			s.printLines(id)
+		}
+	}
+}
+
 // unreported returns the task whose report is due first, when it is due, and the number of such tasks; "" if there is none. A task whose reports
 // were all lost with their connections does not count: its worker does not report it again. Nor does a task whose report was
 // read by a process that was killed at once.
--- a/test/delivery/restart_test.go
+++ b/test/delivery/restart_test.go
@@ -263,6 +263,7 @@
 	time.Sleep(calmTime)
 	s.checkCalmEnds()
 	s.checkAllReported()
+	s.checkNoneReportedEarly()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	failedCalls := 0
