Set up stand-in workers and read the state of child processes under their locks

Cause: a test set Worker.Attempts, and NewProxy the proxy's address, after the worker's goroutine had begun to accept. Tests read which process of Process is the last one without its lock, while another goroutine started the next. go test -race reported nine pairs in cmd/ravenhitch and two in test/delivery, and with that could show no fault of the program there.

Change: RecordAttempts and useProxy lock; IsRunning, Ended and Signal of Process do, too.

--- a/cmd/ravenhitch/failing_links_test.go
+++ b/cmd/ravenhitch/failing_links_test.go
@@ -109,7 +109,7 @@
 	missed := server.submit("missed", 4, 3000)
 	server.sendNoticesOnceOffered(t, missed)
 	next := testbed.NewWorker(t, "a")
-	next.Attempts = server.attempts
+	next.RecordAttempts(server.attempts)
 	server.discovery.Add(false, next.ListEntry("up"))
 	server.expectAllStarted(t, missed)
 }
--- a/cmd/ravenhitch/proxiedserver_test.go
+++ b/cmd/ravenhitch/proxiedserver_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	s := &proxiedServer{proxies: map[string]*testbed.Proxy{}, attempts: testbed.NewAttemptLog(), firstResponses: map[string]string{}}
 	s.testServer = startTestServer(t, serverOptions{settings: settings, log: log, onWorker: func(worker *testbed.Worker) {
-		worker.Attempts = s.attempts
+		worker.RecordAttempts(s.attempts)
 		s.proxies[worker.Name] = testbed.NewProxy(t, worker)
 	}}, workers...)
 	s.Client = s.connect(t)
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -131,8 +131,13 @@
 
 // IsRunning reports whether the process was started and has not ended. A paused process counts
 // as running.
-func (p *Process) IsRunning() bool { return p.ended != nil && !p.hasEnded() }
+func (p *Process) IsRunning() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended != nil && !p.hasEnded()
+}
 
+// hasEnded reports whether the last started process has ended. The caller holds mu.
 func (p *Process) hasEnded() bool {
 	select {
 	case <-p.ended:
@@ -143,7 +148,11 @@
 }
 
 // Ended returns a channel that is closed when the last started process ends.
-func (p *Process) Ended() <-chan struct{} { return p.ended }
+func (p *Process) Ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
 
 // Exit returns the exit code and the time at which the process last ended. The code is -1 if a signal ended the
 // process. The process must have ended.
@@ -166,7 +175,7 @@
 		return
 	}
 	p.Signal(s)
-	<-p.ended
+	<-p.Ended()
 }
 
 // Pause suspends the process with SIGSTOP until Resume.
@@ -177,6 +186,8 @@
 
 // Signal sends a signal to the process. It does nothing if the process has ended.
 func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	_ = p.cmd.Process.Signal(s) // the error of a process that has just ended is expected
 }
 
--- a/internal/testbed/proxy.go
+++ b/internal/testbed/proxy.go
@@ -46,8 +46,8 @@
 // NewProxy returns a proxy that forwards to a worker. The worker's list entries then have the
 // proxy's address.
 func NewProxy(t Host, w *Worker) *Proxy {
-	proxy := newProxy(t, w.listener.Addr().String(), w.Attempts)
-	w.proxyAddress = proxy.Addr()
+	proxy := newProxy(t, w.listener.Addr().String(), w.attempts)
+	w.useProxy(proxy.Addr())
 	return proxy
 }
 
--- a/internal/testbed/proxy_test.go
+++ b/internal/testbed/proxy_test.go
@@ -28,7 +28,7 @@
 			defer func() { <-slots }()
 			t.Run("", func(t *testing.T) {
 				w := NewWorker(t, "w")
-				w.Attempts = NewAttemptLog()
+				w.RecordAttempts(NewAttemptLog())
 				f(t, w, NewProxy(t, w))
 			})
 		})
@@ -72,7 +72,7 @@
 		ResetConnection(early)
 		p.Heal(t)
 		expectPong(t, dial(t, p.Addr()))
-		if count := w.Attempts.OfferCount(RequestID(1)); count > 0 {
+		if count := w.attempts.OfferCount(RequestID(1)); count > 0 {
 			t.Errorf("offers that reached the worker after a reset during the partition: got %d, want 0", count)
 		}
 	})
--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -29,16 +29,14 @@
 	// these offers appear here and not in Cancels. If maxLostOffers offers are waiting in the channel, further offers
 	// are dropped.
 	LostOffers chan Line
-	// Attempts records the attempts at this worker. It must be set before the first connection and before a
-	// call of NewProxy. If it is nil, no attempts are recorded.
-	Attempts *AttemptLog
 
 	host         Host
 	listener     net.Listener
-	proxyAddress string // address of the proxy for orchestrators, "" if they use the listener's address
+	attempts     *AttemptLog // set by RecordAttempts, nil if no attempts are recorded
+	proxyAddress string      // address of the proxy for orchestrators, "" if they use the listener's address
 	model        *CapacityModel
 
-	mu               sync.Mutex
+	mu               sync.Mutex // also guards attempts and proxyAddress until the first connection, which change no more then
 	dialled          *sync.Cond // signalled when a connection is accepted
 	connections      map[net.Conn]bool
 	offerConnections map[string]net.Conn      // connection of each offer, by request ID
@@ -92,6 +90,21 @@
 	return w
 }
 
+// RecordAttempts records the attempts at this worker in the log. It must be called before the first connection and before
+// NewProxy.
+func (w *Worker) RecordAttempts(log *AttemptLog) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts = log
+}
+
+// useProxy makes the worker's list entries have the address of a proxy.
+func (w *Worker) useProxy(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.proxyAddress = address
+}
+
 // accept accepts connections until the listener is closed.
 func (w *Worker) accept(listener net.Listener) {
 	for {
@@ -108,9 +121,10 @@
 		for _, line := range unreported {
 			w.recordReport(line, conn)
 		}
+		hasProxy := w.proxyAddress != ""
 		w.mu.Unlock()
-		if w.proxyAddress == "" { // if the worker has a proxy, the proxy detects that the orchestrator closed a connection
-			w.Attempts.connected(conn.RemoteAddr().String(), func() bool { return closedByPeer(conn.(*net.TCPConn)) })
+		if !hasProxy { // if the worker has a proxy, the proxy detects that the orchestrator closed a connection
+			w.attempts.connected(conn.RemoteAddr().String(), func() bool { return closedByPeer(conn.(*net.TCPConn)) })
 		}
 		for _, line := range unreported {
 			Send(conn, line)
@@ -171,7 +185,7 @@
 	w.mu.Unlock()
 	// If the orchestrator closed its connection to a proxy, the proxy has recorded the close already. The worker may
 	// have read another offer since then, so the close is recorded again.
-	w.Attempts.connectionClosed(conn.RemoteAddr().String())
+	w.attempts.connectionClosed(conn.RemoteAddr().String())
 	if w.model != nil && isReset(conn) {
 		for requestID := range open {
 			w.model.offerReset(conn, requestID)
@@ -192,7 +206,7 @@
 		w.offerConnections[line.Tag] = conn
 		w.mu.Unlock()
 	}
-	w.Attempts.offered(w.Name, conn.RemoteAddr().String(), line.Tag)
+	w.attempts.offered(w.Name, conn.RemoteAddr().String(), line.Tag)
 	if w.model != nil {
 		w.model.offered(conn, line)
 		return true
@@ -202,7 +216,7 @@
 }
 
 func (w *Worker) receiveCancel(conn net.Conn, line Line) {
-	w.Attempts.ended(w.Name, line.Tag)
+	w.attempts.ended(w.Name, line.Tag)
 	if w.model != nil {
 		w.model.cancelled(line.Tag)
 		return
@@ -265,7 +279,7 @@
 
 // sendEnd ends a running task and reports the end with the given message.
 func (w *Worker) sendEnd(requestID string, line Line) {
-	w.Attempts.ended(w.Name, requestID)
+	w.attempts.ended(w.Name, requestID)
 	w.mu.Lock()
 	conn := w.offerConnections[requestID]
 	delete(w.running, requestID)
--- a/internal/testbed/worker_faults.go
+++ b/internal/testbed/worker_faults.go
@@ -17,7 +17,7 @@
 	}
 	clear(w.running)
 	w.unreported = nil
-	w.Attempts.workerLost(w.Name)
+	w.attempts.workerLost(w.Name)
 }
 
 // Recover restarts a crashed worker at the same address, without running tasks.
--- a/internal/testbed/worker_script.go
+++ b/internal/testbed/worker_script.go
@@ -47,7 +47,7 @@
 	case "twice":
 		answerTwice(conn, line)
 	case "brief":
-		w.Attempts.ended(w.Name, line.Tag)
+		w.attempts.ended(w.Name, line.Tag)
 		finished, blob := CodeLine("FINISH", line.Tag, codeEnded), w.Name+" held "+*line.Blob
 		finished.Blob = &blob
 		Send(conn, finished)
@@ -62,10 +62,10 @@
 	case "inspected":
 		time.AfterFunc(inspectionDelay, func() { w.startIfOpen(conn, line) })
 	case "full":
-		w.Attempts.ended(w.Name, line.Tag)
+		w.attempts.ended(w.Name, line.Tag)
 		Send(conn, rejectedLine(line.Tag, "busy"))
 	case "error":
-		w.Attempts.ended(w.Name, line.Tag)
+		w.attempts.ended(w.Name, line.Tag)
 		Send(conn, CodeLine("FINISH", line.Tag, codeFailed))
 	case "reset":
 		resetOnClose(conn)
@@ -98,7 +98,7 @@
 // and "ok" at later attempts. Instead of "copied", it returns "inspected" at later attempts.
 func (w *Worker) script(line Line) string {
 	script, _, _ := strings.Cut(line.Opts["key"], "-")
-	isFirst := func() bool { return w.Attempts.OfferCount(line.Tag) <= 1 }
+	isFirst := func() bool { return w.attempts.OfferCount(line.Tag) <= 1 }
 	switch {
 	case script == "missed" && isFirst():
 		return "silent"
@@ -112,7 +112,7 @@
 
 // rejectTwice rejects an offer and sends a second copy of the rejection later.
 func (w *Worker) rejectTwice(conn net.Conn, line Line) {
-	w.Attempts.ended(w.Name, line.Tag)
+	w.attempts.ended(w.Name, line.Tag)
 	rejected := CodeLine("FINISH", line.Tag, codeRejected)
 	Send(conn, rejected)
 	time.AfterFunc(drawDelay(line.Opts["key"], 0, maxCopyDelay), func() { Send(conn, rejected) })
@@ -141,7 +141,7 @@
 	w.mu.Lock()
 	conn := w.offerConnections[requestID]
 	w.mu.Unlock()
-	w.Attempts.ended(w.Name, requestID)
+	w.attempts.ended(w.Name, requestID)
 	Send(conn, rejectedLine(requestID, "busy"))
 }
 
@@ -156,7 +156,7 @@
 	w.mu.Lock()
 	w.running[requestID] = true
 	w.mu.Unlock()
-	w.Attempts.accepted(w.Name, requestID)
+	w.attempts.accepted(w.Name, requestID)
 }
 
 // answerInvalid sends an invalid response: for the script bare a message without its blob, and otherwise the
--- a/test/delivery/restart_test.go
+++ b/test/delivery/restart_test.go
@@ -178,7 +178,8 @@
 	var entries []string
 	for i := range workerCount {
 		w := testbed.NewWorker(s.t, fmt.Sprint("s-", i))
-		w.Kind, w.Attempts = "node-64", s.attempts
+		w.Kind = "node-64"
+		w.RecordAttempts(s.attempts)
 		s.proxies = append(s.proxies, testbed.NewProxy(s.t, w))
 		go discard(w.Offers)
 		go discard(w.Cancels)
--- a/test/delivery/sessions_test.go
+++ b/test/delivery/sessions_test.go
@@ -134,7 +134,8 @@
 	var entries []string
 	for i := range workerCount {
 		w := testbed.NewWorker(s.t, fmt.Sprint("w-", i))
-		w.Kind, w.Attempts = "node-64", s.attempts
+		w.Kind = "node-64"
+		w.RecordAttempts(s.attempts)
 		go discard(w.Offers)
 		go discard(w.Cancels)
 		s.workers = append(s.workers, w)
--- a/test/soak/life_test.go
+++ b/test/soak/life_test.go
@@ -131,7 +131,8 @@
 func (s *scenario) startWorkers(p *process) {
 	for i := range s.plan.workers {
 		w := &worker{Worker: testbed.NewWorker(s.t, fmt.Sprintf("s-%d-%d", p.index, i))}
-		w.Kind, w.Attempts = "node-64", s.attempts
+		w.Kind = "node-64"
+		w.RecordAttempts(s.attempts)
 		if i%2 == 0 {
 			w.proxy = testbed.NewProxy(s.t, w.Worker)
 		}
