List the soak's counts of violations in one place, and wrap long comments

The names and the sums of the counts stood three times. Nothing of the program but comments has changed; the judges and their tests neither.

--- a/cmd/ravenhitch/shutdown.go
+++ b/cmd/ravenhitch/shutdown.go
@@ -58,8 +58,8 @@
 	return max(lateRequestsUs, min(longest, maxDeadline)+killSlackUs-killMarginUs)
 }
 
-// Stop begins the shutdown, at the end of which Run returns, at the latest flushTimeoutUs after the drain timeout. Stop may be called from any goroutine and more than
-// once.
+// Stop begins the shutdown, at the end of which Run returns, at the latest flushTimeoutUs after the drain timeout. Stop may be
+// called from any goroutine and more than once.
 func (s *server) Stop() {
 	s.loop.Post(func() {
 		if s.inheritedListener && !s.hasSuccessor && s.requestSuccessorCheck() {
@@ -118,8 +118,8 @@
 }
 
 // settle rejects or fails the open requests, including those that still arrive, and takes no more reports of workers than
-// those that are on their way. Once nothing is left to deliver, it stops to listen, and lastRequestsUs later it stops the server. It stops the server at the
-// latest flushTimeoutUs after the drain timeout, and thus before the kill.
+// those that are on their way. Once nothing is left to deliver, it stops to listen, and lastRequestsUs later it stops the
+// server. It stops the server at the latest flushTimeoutUs after the drain timeout, and thus before the kill.
 func (s *server) settle(drainEnd int64) {
 	s.dispatcher.RejectAll(s.loop.Now())
 	s.pool.Retire()
--- a/internal/grpcfront/front.go
+++ b/internal/grpcfront/front.go
@@ -170,10 +170,10 @@
 // status move to another orchestrator. Calls and messages that still arrive are served as before.
 func (f *Front) SetNotServing() { f.health.Shutdown() }
 
-// BeginClose ends each stream after its queued messages are sent, ends the watches of the health service, and stops the server once its calls have ended. New
-// calls are refused, and offers that a stream still reads are rejected. Calls that have not ended within timeout are aborted.
-// Then it calls stopped on the event loop, which must still run, so that open calls get their responses. BeginClose must be
-// called on the event loop. Only its first call has an effect.
+// BeginClose ends each stream after its queued messages are sent, ends the watches of the health service, and stops the server
+// once its calls have ended. New calls are refused, and offers that a stream still reads are rejected. Calls that have not ended
+// within timeout are aborted. Then it calls stopped on the event loop, which must still run, so that open calls get their
+// responses. BeginClose must be called on the event loop. Only its first call has an effect.
 func (f *Front) BeginClose(timeout time.Duration, stopped func()) {
 	if f.closing {
 		return
--- a/test/delivery/restart_checks_test.go
+++ b/test/delivery/restart_checks_test.go
@@ -100,7 +100,8 @@
 	}
 }
 
-// checkNoneReportedEarly expects that no task was reported while it ran. ruleSlack allows for the moment in which a worker crashes.
+// checkNoneReportedEarly expects that no task was reported while it ran. ruleSlack allows for the moment in which a worker
+// crashes.
 func (s *restartScenario) checkNoneReportedEarly() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,9 +122,9 @@
 	}
 }
 
-// unreported returns the task whose report is due first, when it is due, and the number of such tasks; "" if there is none. A task whose reports
-// were all lost with their connections does not count: its worker does not report it again. Nor does a task whose report was
-// read by a process that was killed at once.
+// unreported returns the task whose report is due first, when it is due, and the number of such tasks; "" if there is none. A
+// task whose reports were all lost with their connections does not count: its worker does not report it again. Nor does a task
+// whose report was read by a process that was killed at once.
 func (s *restartScenario) unreported() (first string, due time.Time, count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/soak/judge_test.go
+++ b/test/soak/judge_test.go
@@ -23,36 +23,69 @@
 // scenarios without details. Requests without a response because they and the end of their connection crossed each other
 // count as crossed, which is no violation.
 type verdict struct {
-	requests, afterSIGTERM, crossed                                                                         int
-	lost, late, unreported, early, duplicates, afterLeave, toDraining, uncleanExits, overLimit, leftWaiting int
-	oldestCrossed                                                                                           time.Duration // time from the oldest crossed request to the end of its connection
-	firstViolation                                                                                          string
+	requests, afterSIGTERM int
+	crossed                int
+	oldestCrossed          time.Duration // time from the oldest crossed request to the end of its connection
+
+	// The counts of violations; see violations.
+	lost, late, unreported, early, duplicates int
+	afterLeave, toDraining                    int
+	uncleanExits, overLimit                   int
+	leftWaiting                               int
+
+	firstViolation string
+}
+
+// namedCount is a count of a verdict and its name in the summary.
+type namedCount struct {
+	name  string
+	count *int
+}
+
+// violationCounts returns the counts of violations.
+func (v *verdict) violationCounts() []namedCount {
+	return []namedCount{
+		{"lost", &v.lost},
+		{"late", &v.late},
+		{"untold", &v.unreported},
+		{"early", &v.early},
+		{"twice", &v.duplicates},
+		{"after_leave", &v.afterLeave},
+		{"to_draining", &v.toDraining},
+		{"unclean_exits", &v.uncleanExits},
+		{"over_limits", &v.overLimit},
+		{"left_waiting", &v.leftWaiting},
+	}
 }
 
-func (v verdict) violations() int {
-	return v.lost + v.late + v.unreported + v.early + v.duplicates + v.afterLeave + v.toDraining + v.uncleanExits + v.overLimit + v.leftWaiting
+// violations returns the number of violations.
+func (v verdict) violations() (sum int) {
+	for _, c := range v.violationCounts() {
+		sum += *c.count
+	}
+	return sum
 }
 
+// String returns the summary of the counts.
 func (v verdict) String() string {
-	return fmt.Sprintf("requests=%d after_sigterm=%d crossed=%d oldest_crossed=%s lost=%d late=%d untold=%d early=%d twice=%d after_leave=%d to_draining=%d unclean_exits=%d over_limits=%d left_waiting=%d",
-		v.requests, v.afterSIGTERM, v.crossed, v.oldestCrossed, v.lost, v.late, v.unreported, v.early, v.duplicates, v.afterLeave, v.toDraining, v.uncleanExits, v.overLimit, v.leftWaiting)
+	var text strings.Builder
+	fmt.Fprintf(&text, "requests=%d after_sigterm=%d crossed=%d oldest_crossed=%s", v.requests, v.afterSIGTERM, v.crossed, v.oldestCrossed)
+	for _, c := range v.violationCounts() {
+		fmt.Fprintf(&text, " %s=%d", c.name, *c.count)
+	}
+	return text.String()
 }
 
+// add adds the counts of another verdict.
 func (v *verdict) add(other verdict) {
 	v.requests += other.requests
 	v.afterSIGTERM += other.afterSIGTERM
 	v.crossed += other.crossed
 	v.oldestCrossed = max(v.oldestCrossed, other.oldestCrossed)
-	v.lost += other.lost
-	v.late += other.late
-	v.unreported += other.unreported
-	v.early += other.early
-	v.duplicates += other.duplicates
-	v.afterLeave += other.afterLeave
-	v.toDraining += other.toDraining
-	v.uncleanExits += other.uncleanExits
-	v.overLimit += other.overLimit
-	v.leftWaiting += other.leftWaiting
+	counts := v.violationCounts()
+	for i, c := range other.violationCounts() {
+		*counts[i].count += *c.count
+	}
 }
 
 // addViolation increments a count and keeps the details of the first violation.
