Bound what waits in the test of output on a connection that cannot be watched

Cause: TestOutputWhileConnectionCannotBeWatched sent pings without a bound and without reading. The process rightly closes a connection whose unsent output exceeds its limit; one turn's answers, or the pings that still waited for it, can exceed it at once. The test then missed answers, or sent for ever on the ended connection.

Change: the client sends 100 pings, and goes on when an answer on another connection shows that they were read. The check is the same: each ping gets its answer, in order. A process that stops to answer fails the test at its time limit instead of hanging it.

--- a/test/delivery/buffers_test.go
+++ b/test/delivery/buffers_test.go
@@ -45,16 +45,27 @@
 	}
 }
 
+// pingBatch is a number of pings whose answers are less than the output that may wait for a client.
+const pingBatch = 100
+
 // A client does not read, so that output waits in the process, while the system is out of memory to watch the connection for
 // its room. It guards against output that is never sent.
 func TestOutputWhileConnectionCannotBeWatched(t *testing.T) {
 	o, calls := startWithFault(t, syscallfault.Fault{Number: unix.SYS_EPOLL_CTL, Errors: []unix.Errno{unix.ENOMEM}, Probability: 1,
 		Operation: unix.EPOLL_CTL_MOD})
-	conn := testbed.NewClient(t, o.address)
+	conn, other := testbed.NewClient(t, o.address), testbed.NewClient(t, o.address)
+	pingOn := func(client *testbed.Client, number int) {
+		testbed.Send(client, testbed.Line{Verb: "ECHO", Tag: fmt.Sprintf("%016x", number), Opts: map[string]string{}})
+	}
 	calls.Resume()
 	sent := 0
-	for ; calls.Count() == 0; sent++ { // the client's channel of messages fills first, then the buffers of the kernel
-		testbed.Send(conn, testbed.Line{Verb: "ECHO", Tag: fmt.Sprintf("%016x", sent), Opts: map[string]string{}})
+	for calls.Count() == 0 { // the client's channel of messages fills first, then the buffers of the kernel
+		for range pingBatch {
+			pingOn(conn, sent)
+			sent++
+		}
+		pingOn(other, sent) // its answer shows that the process has read the batch
+		testbed.Wait(t, "the answer to a ping on another connection", other.Lines)
 	}
 	calls.Stop()
 	for i := range sent {
