--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -44,11 +46,18 @@
 		}
 		h.close()
 	}()
-	time.AfterFunc(longest, func() {
-		h.note("ended: not over after %v", longest)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case received := <-signals:
+			h.note("ended by a signal: %v", received)
+		case <-time.After(longest):
+			h.note("ended: not over after %v", longest)
+		}
 		h.close()
 		os.Exit(2)
-	})
+	}()
 	h.note("case %s, trouble %v", os.Args[1], h.trouble)
 	cases[os.Args[1]](h)
 	if len(h.broken) > 0 {
