--- a/review/_standin2/keyed_twice.go
+++ b/review/_standin2/keyed_twice.go
@@ -15,8 +15,8 @@
 // keyedSettings are those of a small deployment with a class whose minions recognise repeats by a key within one room, as
 // song-hong-main.
 const keyedSettings = `{"SelfIndex":0,"FleetSize":2,"Zone":"room-a","Discovery":"subscribe","TickUs":2000,
- "Flavors":["node-32"],"FamilyInfo":{"View":true,"SaysYes":"accepted","CoresMultiple":1.0,"MemoryMultiple":1.0,
- "SizeCores":[28],"MemoryByKind":[60],"UnitCores":0.83,"UnitMemory":1.78,"Counts":"asked","ApartBy":["none","none"],
+ "Flavors":["std-node"],"FamilyInfo":{"View":true,"SaysYes":"accepted","CoresMultiple":1.0,"MemoryMultiple":1.0,
+ "SizeCores":[56],"MemoryByKind":[140],"UnitCores":1.05,"UnitMemory":2.13,"Counts":"asked","ApartBy":["none","none"],
  "CalmLevel":[1.0,0.8],"LostAfter":[1.0,0.2],"KindByClass":[-1,-1],"ClassMost":[2,2],"ClassStartS":[8,8],"ClassPriority":[0,1],
  "FreshOffers":25.0,"CheckAfterUs":3000000},"Limits":{"AttemptsCap":4,"Probes":true,"RetryAfter":true,"Cancel":true,
  "DialTimeoutUs":250000,"ConnIdleUs":15000000,"MaxRetryAfterUs":3000000},
@@ -36,7 +36,7 @@
 	for i := range 8 {
 		room := []string{"room-a", "room-b"}[i%2]
 		m := h.newMinion(fmt.Sprint("s-", i), room)
-		m.guard = rooms[room]
+		m.kind, m.cores, m.units, m.guard = "std-node", 56, 140, rooms[room]
 		m.resets = func(line testbed.Line) bool {
 			return h.trouble && line.Opts["class"] == "batch-keyed" && wasReset.CompareAndSwap(false, true)
 		}
--- a/review/_standin2/minion.go
+++ b/review/_standin2/minion.go
@@ -26,6 +26,7 @@
 type minion struct {
 	h            *harness
 	name, zone   string
+	kind         string
 	cores, units float64
 
 	mu         sync.Mutex
@@ -76,7 +77,7 @@
 }
 
 func (h *harness) newMinion(name, zone string) *minion {
-	m := &minion{h: h, name: name, zone: zone, cores: 28, units: 60, conns: map[net.Conn]string{}, tasks: map[string]*task{},
+	m := &minion{h: h, name: name, zone: zone, kind: kindOfSmall, cores: 28, units: 60, conns: map[net.Conn]string{}, tasks: map[string]*task{},
 		starts: map[string]int{}, keys: map[string]int{}, cuts: map[string]string{}, cutAt: map[string]time.Time{}}
 	stop := make(chan struct{})
 	h.Cleanup(func() { close(stop) })
@@ -106,7 +107,7 @@
 // entry returns the list entry of the minion at an address.
 func (m *minion) entry(addr, phase string) string {
 	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":1,"phase":%q,"size":1,"up_since_ms":0,"spare":[%g,%g]}`,
-		m.name, addr, m.zone, kindOfSmall, phase, m.cores, m.units)
+		m.name, addr, m.zone, m.kind, phase, m.cores, m.units)
 }
 
 // serve handles the messages of a connection.
