review: leave no process behind, and judge no more than the rule in cases 7 and 9

A stand-in that can't go on ends the case from any goroutine, and the kernel ends the program's processes with the script. Case 7 counts only what is cut after the hand-over, case 9 the time from when the event is in the channel.

--- a/review/_standin2/blind.go
+++ b/review/_standin2/blind.go
@@ -98,9 +98,12 @@
 		var changed []string
 		for _, i := range order[step*drainedAtOnce : (step+1)*drainedAtOnce] {
 			minions[i].drain()
-			toldAt[minions[i]], changed = time.Now(), append(changed, minions[i].entry(addrs[minions[i]], "draining"))
+			changed = append(changed, minions[i].entry(addrs[minions[i]], "draining"))
 		}
 		events.Add(false, changed...)
+		for _, i := range order[step*drainedAtOnce : (step+1)*drainedAtOnce] {
+			toldAt[minions[i]] = time.Now() // the refresh may have told it before
+		}
 		h.note("step %d of the deploy: %d minions drain; the command channel tells it", step+1, drainedAtOnce)
 		h.sleep(stepTime)
 	}
--- a/review/_standin2/stale_release.go
+++ b/review/_standin2/stale_release.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"ravenhitch/internal/testbed"
@@ -72,6 +73,7 @@
 		}
 	}
 	handed := map[string]bool{}
+	var handedAt sync.Map // time of the hand-over, by tag
 	for time.Since(cutAt) < cutTime {
 		for _, tag := range tags {
 			if over := owners[0].messages(tag, "FINISH"); len(over) > 0 && !handed[tag] {
@@ -85,6 +87,7 @@
 					line := testbed.StartLine(tag, "archive-cut", "cut-"+tag, 10_000)
 					delete(line.Opts, "left")
 					line.Opts["extras"] = "cores:4;memory:6;service:00000000b4d65521;at:" + where[tag].name
+					handedAt.Store(tag, time.Now())
 					owners[1].send(line)
 				}()
 			}
@@ -100,7 +103,10 @@
 	h.sleep(8 * time.Second)
 	for _, tag := range tags {
 		by, at := where[tag].cutBy(tag)
+		since, isHanded := handedAt.Load(tag)
 		switch {
+		case by != "" && (!isHanded || at.Before(since.(time.Time))):
+			h.note("%s was cut before a hand-over", tag)
 		case by != "" && len(owners[1].messages(tag, "MOVE")) == 0:
 			h.breaks("%s was cut at %s by a release of %s, %.1f s after the cut began; its owner had handed it to n3 and released it nowhere (n3 told its owner %d ends)",
 				tag, where[tag].name, by, at.Sub(cutAt).Seconds(), len(owners[1].messages(tag, "FINISH")))
--- a/review/_standin2/upgrade_grpc.go
+++ b/review/_standin2/upgrade_grpc.go
@@ -53,7 +53,7 @@
 			Env: []string{"ROUTER_CONFIG=" + configPath, "TMPDIR=" + tmp, "ROUTER_MGMT=" + mgmt, "ROUTER_INHERITED_FD=3"},
 			StartCommand: func(cmd *exec.Cmd) error {
 				cmd.ExtraFiles = []*os.File{inherited}
-				return cmd.Start()
+				return startCommand(cmd)
 			}}
 		if err := p.Start(); err != nil {
 			h.cannotRun("%v", err)
