--- a/review/_standin2/harness.go
+++ b/review/_standin2/harness.go
@@ -5,7 +5,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -145,14 +148,21 @@
 	return ""
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port. The address is drawn from 127.0.0.0/8, so that no other program's
+// connection or listener takes the port before the program listens there, or while it is down.
 func (h *harness) freeAddress() string {
-	l, err := testbed.ListenLocal()
-	if err != nil {
-		h.cannotRun("%v", err)
+	for {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(254))
+		l, err := net.Listen("tcp", ip+":0")
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			h.cannotRun("%v", err)
+		}
+		defer testbed.CloseQuietly(l)
+		return l.Addr().String()
 	}
-	defer testbed.CloseQuietly(l)
-	return l.Addr().String()
 }
 
 // start starts an orchestrator with a configuration, and waits until it serves. operators is the text of the operators'
