Give keyed tasks over gRPC their idempotency key, and repeat none without one

Cause: both START messages of the run carry no idem: an offer over gRPC had no field for it, and the dispatcher and the scheduler permit a repeat by the class alone. A JSON line without idem was repeated in the same way.

Fix: Offer.idempotency_key; where it is empty, a key derived from class and task, so that all tries at all orchestrators have the same.

--- a/client/client.go
+++ b/client/client.go
@@ -30,6 +30,8 @@
 	Cores, Memory float64
 	Program       string // ID of the program in up to 16 hex digits, or ""
 	Description   string // text that is passed to the worker unchanged
+	// IdempotencyKey is the same in every offer of the task. If it is "", orchestrators derive one from Class and Name.
+	IdempotencyKey string
 	// Once is true if the task must not be started twice. A call without a response is then not repeated,
 	// since the task may have started.
 	Once bool
--- a/client/place.go
+++ b/client/place.go
@@ -81,6 +81,8 @@
 		Service:     r.task.Program,
 		Description: r.task.Description,
 		Ticket:      r.token,
+
+		IdempotencyKey: r.task.IdempotencyKey,
 	})
 }
 
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -32,13 +32,16 @@
 
 // Class holds the properties of a class that fronts need. TimeoutUs is the timeout, in microseconds, of requests
 // that state no timeout.
-type Class struct{ TimeoutUs int64 }
+type Class struct {
+	TimeoutUs int64 // timeout of a request whose client states none
+	Keyed     bool  // workers recognise repeats of a task by its idempotency key
+}
 
 // Class returns the properties of a class and reports whether the class is in the settings.
 func (d *Dispatcher) Class(name string) (Class, bool) {
 	for _, class := range d.settings.Classes {
 		if class.Name == name {
-			return Class{TimeoutUs: class.DeadlineUs}, true
+			return Class{TimeoutUs: class.DeadlineUs, Keyed: class.Effect == placement.Keyed}, true
 		}
 	}
 	return Class{}, false
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -97,6 +97,8 @@
 	// withholdConfirm is true if attempts that are cancelled from now on stay open until the test confirms the
 	// cancel.
 	withholdConfirm bool
+	// withoutKeys is true if requests that are submitted from now on have no idempotency key.
+	withoutKeys bool
 
 	received       []Response
 	finalResponses map[string]ResponseKind
@@ -213,7 +215,11 @@
 // submit submits a request for a task with 2 cores and a memory of 4, in the unit of testSettings.
 func (h *harness) submit(requestID, class, key string, timeoutMs int64) error {
 	h.deadline[requestID], h.class[requestID] = h.now+timeoutMs*millisecond, class
-	return h.Submit(h.now, h, Submission{RequestID: requestID, Class: class, Key: key, TimeoutUs: timeoutMs * millisecond, Cores: 2, Memory: 4})
+	s := Submission{RequestID: requestID, Class: class, Key: key, TimeoutUs: timeoutMs * millisecond, Cores: 2, Memory: 4}
+	if !h.withoutKeys {
+		s.IdempotencyKey = "i" + key
+	}
+	return h.Submit(h.now, h, s)
 }
 
 // mustSubmit submits a request and fails the test if Submit returns an error.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -77,6 +77,9 @@
 	if effect, ok := d.effects[s.Class]; ok {
 		r.effect = effect
 	}
+	if r.effect == placement.Keyed && s.IdempotencyKey == "" {
+		r.effect = placement.Unsafe // workers recognise a repeat by the key alone
+	}
 	if i, ok := d.classIndex[s.Class]; ok {
 		r.classIndex = i
 	}
@@ -108,6 +111,7 @@
 		ExpectedRunUs: r.ExpectedRunUs,
 		HasRunHint:    r.ExpectedRunUs > 0,
 		Retry:         r.Retry,
+		Unkeyed:       r.IdempotencyKey == "",
 	}
 }
 
--- a/internal/grpcfront/offer.go
+++ b/internal/grpcfront/offer.go
@@ -4,6 +4,8 @@
 // invalid field never reaches the dispatcher.
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"strconv"
@@ -26,7 +28,7 @@
 // protocolFields maps the field names in the errors of dispatch.Submission.Validate to the names of the
 // corresponding fields of edgepb.Offer.
 var protocolFields = map[string]string{"tag": "offer_id", "task": "task", "class": "class", "cores": "cores",
-	"memory": "memory", "wait": "wait_ms"}
+	"memory": "memory", "wait": "wait_ms", "idem": "idempotency_key"}
 
 // parseOffer validates an offer and converts it to a submission. It runs outside the event loop, so it must not
 // use the dispatcher. The error is a gRPC status error.
@@ -40,6 +42,8 @@
 		Description: offer.GetDescription(),
 		TimeoutUs:   int64(offer.GetWaitMs()) * 1000,
 		Resumable:   true,
+
+		IdempotencyKey: offer.GetIdempotencyKey(),
 	}
 	if err := checkSubmission(submission); err != nil {
 		return submission, err
@@ -93,8 +97,16 @@
 	return length
 }
 
+// derivedKey returns the idempotency key of a task whose client gives none. It is the same for all offers of the task, at any
+// orchestrator and over time: a change of it would let a task run twice.
+func derivedKey(class, task string) string {
+	const bytes = 16 // as many as the keys of other clients have
+	hash := sha256.Sum256([]byte("ravenhitch.edge.v1\x00" + class + "\x00" + task))
+	return hex.EncodeToString(hash[:bytes])
+}
+
 // submit passes a submission to the dispatcher. If the submission has no timeout, it gets the timeout of its
-// class. submit runs on the event loop. The error is a gRPC status error.
+// class. If it has no idempotency key and its class needs one, it gets one. submit runs on the event loop. The error is a gRPC status error.
 func (f *Front) submit(client dispatch.Client, submission dispatch.Submission) error {
 	class, known := f.dispatcher.Class(submission.Class)
 	if !known {
@@ -103,6 +115,9 @@
 	if submission.TimeoutUs <= 0 {
 		submission.TimeoutUs = class.TimeoutUs
 	}
+	if class.Keyed && submission.IdempotencyKey == "" {
+		submission.IdempotencyKey = derivedKey(submission.Class, submission.Key)
+	}
 	switch err := f.dispatcher.Submit(f.loop.Now(), client, submission); {
 	case err == nil:
 		return nil
--- a/placement/events.go
+++ b/placement/events.go
@@ -109,6 +109,9 @@
 	QueuedSinceUs int64 // time at which the client started to wait; 0: now
 	Tenant        string
 	Program       uint64
+	// Unkeyed is true if the client gave no idempotency key. Without one, workers cannot discard repeats of the task, even if its
+	// class is Keyed.
+	Unkeyed bool
 	// MayHaveRunOn names the workers on which an earlier request with this ID may have run.
 	MayHaveRunOn []string
 }
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -95,8 +95,9 @@
 		return true
 	}
 	class := p.classOf(task)
+	effect := task.effect(class)
 	return p.excludesAll(task) || task.mayHaveRun != nil &&
-		(class.Effect == Unsafe || class.Effect == Keyed && !repeatWindowOpen(p.now, class, task))
+		(effect == Unsafe || effect == Keyed && !repeatWindowOpen(p.now, class, task))
 }
 
 // excludesAll reports whether a task may have run on every worker that could get it. It returns false in a
@@ -178,7 +179,7 @@
 // measured yet.
 func (p *schedulingPass) abandonAt(task *taskInfo) int64 {
 	lastAttempt := p.settings.MaxAttempts > 0 && len(task.attempts) >= p.settings.MaxAttempts
-	if p.classOf(task).Effect == Unsafe || lastAttempt || !p.health.rttKnown() {
+	if task.effect(p.classOf(task)) == Unsafe || lastAttempt || !p.health.rttKnown() {
 		return task.DeadlineUs
 	}
 	timeout := abandonTimeouts * p.health.responseTimeout()
--- a/placement/repeats.go
+++ b/placement/repeats.go
@@ -15,14 +15,14 @@
 	if task.mayHaveRunOn(worker) || !permitsGroup(worker, class, task) {
 		return false
 	}
-	return task.mayHaveRun == nil || class.Effect == Safe ||
-		class.Effect == Keyed && repeatWindowOpen(now, class, task)
+	effect := task.effect(class)
+	return task.mayHaveRun == nil || effect == Safe || effect == Keyed && repeatWindowOpen(now, class, task)
 }
 
 // permitsGroup reports whether a worker shares idempotency keys with the first worker on which a task may
 // have run. It returns true if the task has not run or is not keyed.
 func permitsGroup(worker *workerInfo, class *Class, task *taskInfo) bool {
-	return task.mayHaveRun == nil || class.Effect != Keyed || class.Group == ScopeAll ||
+	return task.mayHaveRun == nil || task.effect(class) != Keyed || class.Group == ScopeAll ||
 		sameDomain(worker, task.mayHaveRun.worker, class.Group)
 }
 
@@ -30,5 +30,6 @@
 // cannot have run yet, if its repeats are safe, or if all workers of the fleet discard its repeats. It does
 // not check whether the workers still discard them (see repeatWindowOpen).
 func retryIsHarmless(class *Class, task *taskInfo) bool {
-	return task.mayHaveRun == nil || class.Effect == Safe || class.Effect == Keyed && class.Group == ScopeAll
+	effect := task.effect(class)
+	return task.mayHaveRun == nil || effect == Safe || effect == Keyed && class.Group == ScopeAll
 }
--- a/placement/requests_test.go
+++ b/placement/requests_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// A task of a keyed class without an idempotency key gets no further attempt once it may have run, and its client is told that
+// it may have.
+func TestUnkeyedTaskIsNotRepeated(t *testing.T) {
+	for _, class := range []string{"all", "cell", "zone"} {
+		f := newFixture(t, testSettings(), 3, smallWorker("a", 0, 30), smallWorker("b", 0, 4), smallWorker("c", 1, 20))
+		request := f.request("1", class, 1, 2)
+		request.Unkeyed = true
+		f.wantPlaced(f.handleAfter(ms, request), "a")
+		actions := f.handleAfter(10*ms, AttemptEnded{RequestID: "1", Worker: "a", Outcome: Reset})
+		if len(ofType[Place](actions)) > 0 || len(ofType[Fail](actions)) != 1 {
+			t.Errorf("class %s: got %v, want a failure and no further attempt", class, actions)
+		}
+	}
+}
+
 // Guards against a second attempt at a worker on which the task may have run, whose messages about the first attempt
 // would be taken for those about the second. A request for which no other worker is left gets its response at once. After an
 // outcome which shows that the task never ran, the worker may get the task again.
--- a/placement/search.go
+++ b/placement/search.go
@@ -166,7 +166,7 @@
 func (s *search) uncordonedWorker(task *taskInfo) (found *workerInfo) {
 	class := s.classOf(task)
 	for worker := range s.fleet.pruneUncordoned() {
-		suitable := class.Effect != Unsafe && s.filter.feasible(worker, class, task) &&
+		suitable := task.effect(class) != Unsafe && s.filter.feasible(worker, class, task) &&
 			s.health.healthy(worker, task.classIndex) && s.filter.fits(worker, task)
 		if suitable && (found == nil || worker.ordinal < found.ordinal) {
 			found = worker
@@ -179,7 +179,7 @@
 // found no healthy worker that fits the task.
 func (s *search) fallback(task *taskInfo) []*workerInfo {
 	suspects := s.suspects
-	if len(suspects) == 0 || s.classOf(task).Effect != Safe && s.majorityHealthy(task) {
+	if len(suspects) == 0 || task.effect(s.classOf(task)) != Safe && s.majorityHealthy(task) {
 		// A suspect worker may have free capacity only because it fails its tasks quickly. If most workers
 		// are healthy but full, the task therefore waits for one of them, unless the task is safe to repeat.
 		return nil
--- a/placement/task.go
+++ b/placement/task.go
@@ -43,6 +43,14 @@
 	usage       [resourceCount]float64 // used fraction of each requested resource; 0 if not reported
 }
 
+// effect returns whether the task may run more than once. class is the class of the task.
+func (t *taskInfo) effect(class *Class) Effect {
+	if class.Effect == Keyed && t.Unkeyed {
+		return Unsafe
+	}
+	return class.Effect
+}
+
 // lastAttempt returns the last attempt. It panics if there is none.
 func (t *taskInfo) lastAttempt() *attemptInfo { return t.attempts[len(t.attempts)-1] }
 
