Apply the events of a discovery answer as they are read, whatever its length

Cause: an answer was collected whole up to 2 MB and dropped above that.

Fix: the body is read piece by piece (response.go, chunked.go), a decoder passes each event on once it is complete (config/updatedecoder.go), and the cursor moves with it, so that what was read of an answer that breaks off is not asked for again. Warnings tell for how long discovery was unheard, and there are figures for it.

--- a/cmd/ravenhitch/figures.go
+++ b/cmd/ravenhitch/figures.go
@@ -63,6 +63,7 @@
 		tokens = s.grpcFront.TokenCounts()
 	}
 	completions, connections, clients := s.clientFront.CompletionCounts(), s.pool.Counts(), s.clientFront.ConnectionCounts()
+	polls := s.follower.Counts()
 	return []metrics.Figure{
 		counter("completions_sent", completions.Sent), counter("completions_confirmed", completions.Confirmed),
 		counter("completions_repeated", completions.Repeated), counter("completions_dropped", completions.Dropped),
@@ -73,6 +74,8 @@
 		counter("worker_conns_closed", connections.Closed), counter("worker_conns_broken", connections.Broken),
 		counter("worker_conns_for_late_completions", connections.LateCompletions),
 		counter("worker_conns_read_at_close", connections.ReadAtClose),
+		counter("discovery_late", polls.Late), counter("discovery_invalid", polls.Invalid),
+		gauge("discovery_unheard_ms", int(s.follower.Unheard()/millisecond)),
 		counter("tickets_good", tokens.Good), counter("tickets_early", tokens.Early),
 		counter("tickets_expired", tokens.Expired), counter("tickets_used", tokens.Used), counter("tickets_bad", tokens.Bad),
 		counter("requests", counts.Requests), counter("started", counts.Started), counter("refused", counts.Rejected),
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -108,7 +108,7 @@
 
 // parseInitial parses the initial list of workers. It returns an error if any worker in it is invalid.
 func parseInitial(known gjson.Result) (Update, error) {
-	initial, err := parseUpdate(known)
+	initial, err := ParseUpdate([]byte(known.Raw))
 	if err == nil && len(initial.InvalidWorkers) > 0 {
 		err = initial.InvalidWorkers[0]
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -57,6 +57,11 @@
 
 	startTimes startTimes // of the workers, on the clock of the loop
 
+	startedAt      int64 // time of the first dial in microseconds, 0 before it
+	heardAt        int64 // time in microseconds at which an event was last read or a poll was answered, 0 for never
+	invalidAnswers int   // invalid answers since then
+	counts         Counts
+
 	firstPollAt int64 // Unix time of the first poll in microseconds, 0 before the first poll
 	hasResponse bool  // discovery has answered at least one poll
 
@@ -81,10 +86,13 @@
 // Start dials discovery. The follower polls discovery from the time the connection opens. If the dial cannot be
 // started, the follower dials again after redialDelay.
 func (f *Follower) Start() {
+	if f.startedAt == 0 {
+		f.startedAt = f.loop.Now()
+	}
 	next := &pollConn{follower: f}
 	conn, err := f.loop.Dial(f.address, f.dialTimeoutUs, next)
 	if err != nil {
-		f.log.Warn("discovery unreachable", "err", err)
+		f.log.Warn("discovery unreachable", "unheard_us", f.Unheard(), "err", err)
 		f.restartIn(redialDelay)
 		return
 	}
@@ -125,9 +133,8 @@
 // poll late.
 func (f *Follower) poll() {
 	current, blockMs := f.current, f.assignment.pollBlockMs()
-	var query string
-	query, current.named = f.assignment.beginPoll()
-	current.askedAt = f.loop.Now()
+	query, named := f.assignment.beginPoll()
+	current.begin(f.loop.Now(), named)
 	current.conn.Write([]byte(fmt.Sprintf("GET /cmd/next?resume=%d&block=%d%s HTTP/1.1\r\nHost: %s\r\n\r\n",
 		f.cursor, blockMs, query, f.address)))
 	if f.firstPollAt == 0 {
@@ -140,7 +147,8 @@
 // pollLate polls on a new connection, because the poll in flight was not answered in time. The connection of the late poll
 // stays open if enough descriptors are free. If there are more than maxLatePolls, the oldest one is closed.
 func (f *Follower) pollLate() {
-	f.log.Warn("discovery timed out", "cursor", f.cursor, "late_polls", len(f.late)+1)
+	f.counts.Late++
+	f.log.Warn("discovery timed out", "cursor", f.cursor, "late_polls", len(f.late)+1, "unheard_us", f.Unheard())
 	if f.loop.FreeDescriptors() < latePollMinDescriptors {
 		f.dropLate()
 		f.restartIn(0)
@@ -167,12 +175,17 @@
 	f.late = nil
 }
 
-// lateAnswer applies the answer to a late poll and closes its connection, and those of the polls before it, whose answers
-// can hold nothing more.
-func (f *Follower) lateAnswer(p *pollConn, update config.Update) {
-	f.log.Warn("discovery answered late", "cursor", update.Cursor, "age_us", f.loop.Now()-p.askedAt)
-	f.hasResponse = true
-	f.applyPolled(p, update)
+// awaitProgress gives discovery responseSlack to send the next event of a long answer, before the poll in flight is late.
+func (f *Follower) awaitProgress() {
+	f.pollTimer.Stop()
+	f.pollTimer = f.loop.After(responseSlack, f.pollLate)
+}
+
+// lateAnswer handles the end of the answer to a late poll and closes its connection, and those of the polls before it, whose
+// answers can hold nothing more.
+func (f *Follower) lateAnswer(p *pollConn, cursor int64) {
+	f.log.Warn("discovery answered late", "cursor", cursor, "age_us", f.loop.Now()-p.askedAt)
+	f.endPoll(p, cursor)
 	answered := slices.Index(f.late, p) + 1
 	for _, older := range f.late[:answered] {
 		older.conn.Close()
@@ -180,34 +193,31 @@
 	f.late = slices.Clone(f.late[answered:])
 }
 
-// answer applies the answer to the poll in flight and sends the next poll. It drops the late polls, whose answers can hold
-// nothing more. At most one poll is in flight on a connection, so bytes that follow its response belong to no request. If
+// answer handles the end of the answer to the poll in flight and sends the next poll. It drops the late polls, whose answers can
+// hold nothing more. At most one poll is in flight on a connection, so bytes that follow its response belong to no request. If
 // there are such bytes, the next poll is sent on a new connection. On the old connection, they would be read as the
 // response to the next poll, and every later response would be matched to the wrong poll. A new connection is also used if
 // the response does not permit another request on the old one.
-func (f *Follower) answer(r response, update config.Update, hasExcess bool) {
+func (f *Follower) answer(p *pollConn, cursor int64, hasExcess bool) {
 	f.pollTimer.Stop()
-	f.hasResponse = true
-	f.observeDate(r.dateUs)
 	f.dropLate()
-	f.applyPolled(f.current, update)
+	f.endPoll(p, cursor)
 	if hasExcess {
 		f.log.Warn("unexpected bytes after discovery response", "cursor", f.cursor)
 	}
-	if hasExcess || !r.reusable {
+	if hasExcess || !p.reader.head.reusable {
 		f.restartIn(0)
 		return
 	}
 	f.poll()
 }
 
-// applyPolled applies the update in the answer to a poll, and logs the invalid workers that were left out of the update. It
-// activates the shards that the poll named and that are still assigned.
-func (f *Follower) applyPolled(p *pollConn, update config.Update) {
-	for _, err := range update.InvalidWorkers {
-		f.log.Warn("invalid worker entry skipped", "err", err)
-	}
-	f.Apply(update, false)
+// endPoll handles the end of an answer whose events have been applied, and moves the cursor to that of the answer. It activates
+// the shards that the poll named and that are still assigned.
+func (f *Follower) endPoll(p *pollConn, cursor int64) {
+	f.hasResponse = true
+	f.heard()
+	f.Apply(config.Update{Cursor: cursor}, false)
 	if f.assignment.endPoll(p.named) {
 		f.publishAssignment()
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -252,3 +252,97 @@
 	})
 	<-done
 }
+
+// longAnswer returns the body of an answer with events up to the given number. Event n lists worker s-n, and all have as many
+// other entries as needed for the size of an answer in bytes.
+func longAnswer(events, size int) string {
+	const entry = `{"id":"s-%d","host_port":"127.0.0.1:9","locality":"h","flavor":"std","cell":1,"phase":"draining","size":1,"up_since_ms":0,"spare":[1,1]}`
+	var text strings.Builder
+	fmt.Fprintf(&text, `{"cursor":%d,"cmds":[`, events)
+	for n := 1; n <= events; n++ {
+		if n > 1 {
+			text.WriteByte(',')
+		}
+		fmt.Fprintf(&text, `{"cursor":%d,"nodes":{"complete":false,"members":[`+entry, n, n)
+		for text.Len() < size*n/events {
+			fmt.Fprintf(&text, ","+entry, 0)
+		}
+		text.WriteString("]}}")
+	}
+	text.WriteString("]}")
+	return text.String()
+}
+
+// followScript starts a follower of a scripted discovery. stop ends it.
+func followScript(t *testing.T) (discovery *scriptedDiscovery, dispatcher *dispatch.Dispatcher, follower *Follower, stop func()) {
+	t.Helper()
+	discovery = newScriptedDiscovery(t)
+	loop, pool, dispatcher := newPool(t)
+	follower = NewFollower(loop, dispatcher, pool, discovery.listener.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
+	follower.Start()
+	return discovery, dispatcher, follower, runLoop(t, loop, pool, dispatcher)
+}
+
+// Guards against an answer that is refused for its length and asked for again for good (review/9), in both codings.
+func TestLongAnswerIsApplied(t *testing.T) {
+	const events, size = 40, 6 << 20
+	body := longAnswer(events, size)
+	var chunked strings.Builder
+	for rest := body; rest != ""; {
+		const chunk = 3 << 20
+		piece := rest[:min(len(rest), chunk)]
+		fmt.Fprintf(&chunked, "%x\r\n%s\r\n", len(piece), piece)
+		rest = rest[len(piece):]
+	}
+	for name, response := range map[string]string{
+		"content-length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked.String() + "0\r\n\r\n",
+	} {
+		discovery, dispatcher, _, stop := followScript(t)
+		discovery.respond(t, "resume=0&", response, false)
+		discovery.respond(t, fmt.Sprintf("resume=%d&", events), "", false)
+		stop()
+		if !dispatcher.IsListed("s-1") || !dispatcher.IsListed(fmt.Sprint("s-", events)) {
+			t.Errorf("%s: the workers of the first and the last event: listed %v and %v, want both", name, dispatcher.IsListed("s-1"),
+				dispatcher.IsListed(fmt.Sprint("s-", events)))
+		}
+	}
+}
+
+// What was read of an answer that breaks off, or stops and stays open, is applied and not asked for again.
+func TestEventsOfIncompleteAnswerAreApplied(t *testing.T) {
+	body := longAnswer(3, 3_000)
+	cut := strings.Index(body, `"cursor":3,"nodes"`) + 100
+	discovery, dispatcher, _, stop := followScript(t)
+	discovery.respond(t, "resume=0&", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut]), true)
+	discovery.respond(t, "resume=2&", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut]), false)
+	discovery.respond(t, "resume=2&", "", false)
+	stop()
+	if !dispatcher.IsListed("s-2") || dispatcher.IsListed("s-3") {
+		t.Errorf("the workers of the second and the third event: listed %v and %v, want true and false", dispatcher.IsListed("s-2"),
+			dispatcher.IsListed("s-3"))
+	}
+}
+
+// An invalid answer is asked for again less and less often, until discovery is heard. A connection that fails is not.
+func TestInvalidAnswersAreAskedForLessOften(t *testing.T) {
+	loop, pool, dispatcher := newPool(t)
+	defer loop.Close()
+	follower := NewFollower(loop, dispatcher, pool, "127.0.0.1:9", 1_000_000, slog.New(slog.DiscardHandler))
+	invalid := &ResponseError{Part: "head", Reason: "too long"}
+	for i, want := range []int64{100, 200, 400, 500, 500} {
+		if got := follower.redialDelayAfter(invalid); got != want*millisecond {
+			t.Errorf("delay after %d invalid answers: got %d us, want %d ms", i+1, got, want)
+		}
+	}
+	if got := follower.redialDelayAfter(eventloop.ErrTimeout); got != redialDelay {
+		t.Errorf("delay after a connection that failed: got %d us, want %d", got, redialDelay)
+	}
+	follower.heard()
+	if got := follower.redialDelayAfter(&StatusError{Status: 503}); got != redialDelay {
+		t.Errorf("delay after the first invalid answer since discovery was heard: got %d us, want %d", got, redialDelay)
+	}
+	if got := follower.Counts(); got.Invalid != 6 {
+		t.Errorf("got %d invalid answers, want 6", got.Invalid)
+	}
+}
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -2,8 +2,9 @@
 
 // This file owns the connections to discovery. A connection carries one poll at a time. If discovery is late to answer, the
 // follower polls again on a new connection, and the connection of the late poll stays open for its answer: a discovery that
-// answers each poll late would otherwise never be heard. Invariant: an answer is applied at most once per event, in
-// whatever order the polls are answered (see Follower.Apply).
+// answers each poll late would otherwise never be heard. An event is applied as soon as it has been read, so that an answer
+// after a long outage may be longer than the memory, and what was read of an answer that breaks off is not read again.
+// Invariant: an event is applied at most once, in whatever order the polls are answered (see Follower.Apply).
 
 import (
 	"errors"
@@ -27,6 +28,14 @@
 	conn     *eventloop.Conn
 	askedAt  int64     // time at which the latest poll was sent, in microseconds
 	named    shard.Set // shards that this poll names
+	reader   responseReader
+	decoder  *config.UpdateDecoder
+}
+
+// begin prepares the connection for the answer to a poll that is sent now and names the given shards.
+func (p *pollConn) begin(now int64, named shard.Set) {
+	p.askedAt, p.named, p.reader = now, named, responseReader{}
+	p.decoder = config.NewUpdateDecoder(p.handleEvent)
 }
 
 // isLate reports whether the follower has polled again on another connection since.
@@ -43,29 +52,53 @@
 		return
 	}
 	if !errors.Is(err, eventloop.ErrEOF) {
-		f.log.Warn("discovery connection failed", "cursor", f.cursor, "err", err)
+		f.log.Warn("discovery connection failed", "cursor", f.cursor, "unheard_us", f.Unheard(), "err", err)
 	}
-	f.restartIn(redialDelay)
+	f.restartIn(f.redialDelayAfter(err))
 }
 
-// Data implements eventloop.Handler. It applies the response of the poll on this connection. It returns an error, which
-// closes the connection, if the response is invalid or its status is not 200.
+// Data implements eventloop.Handler. It reads the response to the poll on this connection. It returns an error, which closes the
+// connection, if the response is invalid or its status is not 200.
 func (p *pollConn) Data(_ *eventloop.Conn, b []byte) (int, error) {
-	r, used, complete, err := parseFinalResponse(b)
+	used, complete, err := p.reader.read(b, p)
 	if err != nil || !complete {
 		return used, err
 	}
-	if r.status != http.StatusOK {
-		return used, &StatusError{Status: r.status}
-	}
-	update, err := config.ParseUpdate(r.body)
+	cursor, err := p.decoder.End()
 	if err != nil {
 		return used, err
 	}
 	if p.isLate() {
-		p.follower.lateAnswer(p, update)
+		p.follower.lateAnswer(p, cursor)
 	} else {
-		p.follower.answer(r, update, used < len(b))
+		p.follower.answer(p, cursor, used < len(b))
 	}
 	return used, nil
 }
+
+// handleHead implements responseHandler.
+func (p *pollConn) handleHead(h head) error {
+	if h.status != http.StatusOK {
+		return &StatusError{Status: h.status}
+	}
+	if !p.isLate() {
+		p.follower.observeDate(h.dateUs)
+	}
+	return nil
+}
+
+// handleBody implements responseHandler.
+func (p *pollConn) handleBody(piece []byte) error { return p.decoder.Write(piece) }
+
+// handleEvent applies an event of the answer, and logs the invalid workers that were left out of it.
+func (p *pollConn) handleEvent(event config.Event, invalidWorkers []error) {
+	f := p.follower
+	for _, err := range invalidWorkers {
+		f.log.Warn("invalid worker entry skipped", "err", err)
+	}
+	f.Apply(config.Update{Events: []config.Event{event}}, false)
+	f.heard()
+	if !p.isLate() {
+		f.awaitProgress()
+	}
+}
--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -1,7 +1,8 @@
 package discovery
 
-// This file owns the parser of HTTP/1.1 responses of discovery. The parser keeps no state between calls and has no
-// access to the connection. Invariant: for any input, the parser runs in linear time and does not panic.
+// This file owns the reading of HTTP/1.1 responses of discovery, which arrive in pieces. The reader has no access to the
+// connection, and keeps no part of a body, so that the length of a body has no limit. Invariant: for any input, the reader runs
+// in linear time and does not panic.
 
 import (
 	"bytes"
@@ -10,85 +11,124 @@
 	"strings"
 )
 
-const (
-	maxHead = 16 << 10 // maximum size of the head, and of the trailers of a chunked body, in bytes
-	maxBody = 2 << 20  // maximum size of the body in bytes
-)
+// maxHead is the maximum size of the head, and of the trailers of a chunked body, in bytes.
+const maxHead = 16 << 10
 
 const (
 	headEnd = "\r\n\r\n"
 	lineEnd = "\r\n"
 )
 
-// response holds the parts of an HTTP response that the follower uses.
-type response struct {
-	status   int
-	body     []byte
-	reusable bool  // the connection may be used for another request
-	dateUs   int64 // Unix time of the Date header in microseconds, 0 if there is no valid one
+// responseHandler receives the parts of a final response. An error ends the response.
+type responseHandler interface {
+	// handleHead is called once, before the body.
+	handleHead(h head) error
+	// handleBody is called with each piece of the body. It must not keep the piece.
+	handleBody(piece []byte) error
 }
 
-// isInterim reports whether the response is an interim (1xx) response, which another response to the same request
-// follows.
-func (r *response) isInterim() bool { return r.status < http.StatusOK }
+// responseReader reads the final response to one request, and skips the interim (1xx) responses before it. The zero value is
+// ready for use.
+type responseReader struct {
+	head    head
+	hasHead bool
+	body    bodyReader // nil before the head has been read
+}
 
-// hasNoBody reports whether a response of this status never has a body according to HTTP/1.1.
-func (r *response) hasNoBody() bool {
-	return r.isInterim() || r.status == http.StatusNoContent || r.status == http.StatusNotModified
+// bodyReader reads a body whose end it knows. It passes on the pieces of the body, and returns the number of bytes used and
+// whether the body is complete. The caller passes the unused bytes again, with those that follow.
+type bodyReader interface {
+	read(b []byte, handle func(piece []byte) error) (used int, complete bool, err error)
 }
 
-// parseFinalResponse parses the first final response in b and skips the interim responses before it. complete is
-// false if bytes of the final response are missing. used is the number of bytes at the start of b that need not be
-// passed to the next call; it counts skipped interim responses even if complete is false.
-func parseFinalResponse(b []byte) (r response, used int, complete bool, err error) {
-	for {
-		r, length, err := parseResponse(b[used:])
+// read reads the next bytes of the response. used is the number of bytes at the start of b that need not be passed to the next
+// call. complete is true once the final response is complete; the rest of b does not belong to it.
+func (r *responseReader) read(b []byte, handler responseHandler) (used int, complete bool, err error) {
+	for !r.hasHead {
+		length, err := r.readHead(b[used:])
 		if err != nil || length == 0 {
-			return response{}, used, false, err
+			return used, false, err
 		}
 		used += length
-		if !r.isInterim() {
-			return r, used, true, nil
+		if r.head.isInterim() {
+			continue
+		}
+		r.hasHead = true
+		if err := handler.handleHead(r.head); err != nil {
+			return used, false, err
 		}
 	}
+	length, complete, err := r.body.read(b[used:], handler.handleBody)
+	return used + length, complete, err
 }
 
-// parseResponse parses the response at the start of b. used is the length of the response in bytes, or 0 if the
-// response is incomplete. The body is a slice of b unless it is chunked.
-func parseResponse(b []byte) (r response, used int, err error) {
+// readHead reads a head at the start of b. It returns the length of the head in bytes, or 0 if the head is incomplete.
+func (r *responseReader) readHead(b []byte) (length int, err error) {
 	end := bytes.Index(b[:min(len(b), maxHead+len(headEnd)-1)], []byte(headEnd))
 	if end < 0 {
 		if len(b) >= maxHead {
-			return response{}, 0, &ResponseError{Part: "head", Reason: "too long"}
+			return 0, &ResponseError{Part: "head", Reason: "too long"}
 		}
-		return response{}, 0, nil
+		return 0, nil
 	}
-	h, err := parseHead(b[:end])
-	if err != nil {
-		return response{}, 0, err
+	if r.head, err = parseHead(b[:end]); err != nil {
+		return 0, err
 	}
-	r = response{status: h.status, reusable: h.reusable, dateUs: h.dateUs}
-	bodyAt := end + len(headEnd)
-	body, length, complete, err := h.parseBody(&r, b[bodyAt:])
-	if err != nil || !complete {
-		return response{}, 0, err
+	if r.body, err = r.head.bodyReader(); err != nil {
+		return 0, err
 	}
-	r.body = body
-	return r, bodyAt + length, nil
+	return end + len(headEnd), nil
 }
 
-// head holds the information that the parser uses from the status line and the headers of a response.
+// head holds the information that the reader uses from the status line and the headers of a response.
 type head struct {
 	status   int
-	reusable bool
-	length   int  // length of the body in bytes, or noLength
-	chunked  bool // the body uses the chunked transfer coding
-	dateUs   int64
+	reusable bool  // the connection may be used for another request
+	length   int64 // length of the body in bytes, or noLength
+	chunked  bool  // the body uses the chunked transfer coding
+	dateUs   int64 // Unix time of the Date header in microseconds, 0 if there is no valid one
 }
 
 // noLength is the value of head.length for a response without a content-length header.
 const noLength = -1
 
+// isInterim reports whether the response is an interim (1xx) response, which another response to the same request
+// follows.
+func (h *head) isInterim() bool { return h.status < http.StatusOK }
+
+// hasNoBody reports whether a response of this status never has a body according to HTTP/1.1.
+func (h *head) hasNoBody() bool {
+	return h.isInterim() || h.status == http.StatusNoContent || h.status == http.StatusNotModified
+}
+
+// bodyReader returns the reader of the body that follows the head.
+func (h *head) bodyReader() (bodyReader, error) {
+	switch {
+	case h.chunked:
+		return &chunkedReader{}, nil
+	case h.length >= 0:
+		return &plainReader{left: h.length}, nil
+	case h.hasNoBody():
+		return &plainReader{}, nil
+	}
+	return nil, &ResponseError{Part: "head", Reason: "neither content-length nor chunked coding"}
+}
+
+// plainReader reads a body of a known length.
+type plainReader struct {
+	left int64 // bytes that are still to be read
+}
+
+// read implements bodyReader.
+func (r *plainReader) read(b []byte, handle func(piece []byte) error) (used int, complete bool, err error) {
+	piece := b[:min(int64(len(b)), r.left)]
+	r.left -= int64(len(piece))
+	if len(piece) > 0 {
+		err = handle(piece)
+	}
+	return len(piece), err == nil && r.left == 0, err
+}
+
 // parseHead parses the status line and the headers. b must not include the empty line that ends the headers.
 func parseHead(b []byte) (head, error) {
 	h := head{length: noLength}
@@ -140,10 +180,10 @@
 	switch name = asciiLower(name); name {
 	case "content-length":
 		length, err := strconv.ParseInt(value, 10, 64)
-		if err != nil || length < 0 || length > maxBody {
-			return &ResponseError{Part: name, Reason: "expected a number of bytes within the limit", Value: value}
+		if err != nil || length < 0 {
+			return &ResponseError{Part: name, Reason: "expected a number of bytes", Value: value}
 		}
-		h.length = int(length)
+		h.length = length
 	case "transfer-encoding":
 		if asciiLower(value) != "chunked" {
 			return &ResponseError{Part: name, Reason: "expected chunked", Value: value}
@@ -159,24 +199,6 @@
 	return nil
 }
 
-// parseBody returns the body at the start of b. length is the number of bytes that the encoded body takes in b.
-// complete is false if bytes of the body are missing.
-func (h *head) parseBody(r *response, b []byte) (body []byte, length int, complete bool, err error) {
-	switch {
-	case h.chunked:
-		body, length, err = decodeChunked(b)
-		return body, length, length > 0, err
-	case h.length >= 0:
-		if len(b) < h.length {
-			return nil, 0, false, nil
-		}
-		return b[:h.length], h.length, true, nil
-	case r.hasNoBody():
-		return nil, 0, true, nil
-	}
-	return nil, 0, false, &ResponseError{Part: "head", Reason: "neither content-length nor chunked coding"}
-}
-
 // asciiLower returns text with its ASCII upper-case letters in lower case. The names and values of headers that the
 // parser compares are ASCII.
 func asciiLower(text string) string {
