--- a/cmd/ravenhitch/figures.go
+++ b/cmd/ravenhitch/figures.go
@@ -75,7 +75,7 @@
 		counter("worker_conns_for_late_completions", connections.LateCompletions),
 		counter("worker_conns_read_at_close", connections.ReadAtClose),
 		counter("discovery_late", polls.Late), counter("discovery_invalid", polls.Invalid),
-		gauge("discovery_unheard_ms", int(s.follower.Unheard()/millisecond)),
+		gauge("discovery_staleness_ms", int(s.follower.Staleness()/millisecond)),
 		counter("tickets_good", tokens.Good), counter("tickets_early", tokens.Early),
 		counter("tickets_expired", tokens.Expired), counter("tickets_used", tokens.Used), counter("tickets_bad", tokens.Bad),
 		counter("requests", counts.Requests), counter("started", counts.Started), counter("refused", counts.Rejected),
--- a/internal/config/updatedecoder.go
+++ b/internal/config/updatedecoder.go
@@ -54,16 +54,6 @@
 	expectNothing                       // the response is complete
 )
 
-// tokenKind is the kind of token that the decoder is in.
-type tokenKind int
-
-const (
-	tokenNone      tokenKind = iota
-	tokenString              // a key or a string
-	tokenScalar              // a number or a literal
-	tokenContainer           // an object or an array that is read as a whole: a worker's entry, or a value that is not used
-)
-
 // UpdateDecoder decodes a response of discovery piece by piece. It passes on each event as soon as the event is complete, so
 // that the length of a response has no limit. The zero value is not valid; see NewUpdateDecoder.
 type UpdateDecoder struct {
@@ -77,13 +67,7 @@
 	workers int     // number of workers of the event, valid or not
 	errs    []error // one for each invalid worker of the event, maxInvalidWorkers at most
 
-	token     tokenKind
-	text      []byte // the beginning of the token, up to maxText bytes
-	maxText   int
-	truncated bool // the token is longer than maxText
-	nesting   int  // number of open brackets in a tokenContainer
-	inString  bool
-	escaped   bool // the byte before was an unescaped backslash in a string
+	token token // the token that the decoder is in
 }
 
 // NewUpdateDecoder returns a decoder that calls emit with each event, and with one error for each worker that was left out, a
@@ -121,13 +105,12 @@
 
 // decode decodes the beginning of a piece, which is not empty, and returns the number of bytes used.
 func (d *UpdateDecoder) decode(piece []byte) (used int, err error) {
-	switch d.token {
-	case tokenString:
-		return d.continueString(piece)
-	case tokenScalar:
-		return d.continueScalar(piece)
-	case tokenContainer:
-		return d.continueContainer(piece)
+	if d.token.kind != tokenNone {
+		used, complete := d.token.read(piece)
+		if !complete {
+			return used, nil
+		}
+		return used, d.useToken()
 	}
 	switch c := piece[0]; c {
 	case ' ', '\t', '\r', '\n':
@@ -178,9 +161,7 @@
 	case d.opensNextLevel(bracket):
 		d.enter(d.level + 1)
 	default:
-		d.begin(tokenContainer, d.containerLimit())
-		d.keep([]byte{bracket})
-		d.nesting = 1
+		d.token.beginContainer(bracket, d.containerLimit())
 	}
 	return nil
 }
@@ -242,26 +223,12 @@
 	return nil
 }
 
-// begin begins a token of which the first maxText bytes are kept.
-func (d *UpdateDecoder) begin(kind tokenKind, maxText int) {
-	d.token, d.maxText, d.text, d.truncated = kind, maxText, d.text[:0], false
-	d.inString, d.escaped = kind == tokenString, false
-}
-
-// keep appends a part of the token to its text.
-func (d *UpdateDecoder) keep(part []byte) {
-	if room := d.maxText - len(d.text); len(part) > room {
-		part, d.truncated = part[:room], true
-	}
-	d.text = append(d.text, part...)
-}
-
 func (d *UpdateDecoder) beginString() error {
 	isKey := d.expect == expectKey || d.expect == expectKeyOrEnd
 	if !isKey && !d.expectsValue() {
 		return errInvalidJSON
 	}
-	d.begin(tokenString, maxTokenText)
+	d.token.begin(tokenString, maxTokenText)
 	return nil
 }
 
@@ -272,73 +239,28 @@
 	case !d.expectsValue():
 		return errInvalidJSON
 	}
-	d.begin(tokenScalar, maxTokenText)
+	d.token.begin(tokenScalar, maxTokenText)
 	return nil
 }
 
-// continueString reads a key or a string up to its closing quote.
-func (d *UpdateDecoder) continueString(piece []byte) (used int, err error) {
-	for used < len(piece) && d.inString {
-		d.stepString(piece[used])
-		used++
-	}
-	if d.inString {
-		d.keep(piece[:used])
-		return used, nil
-	}
-	d.keep(piece[:used-1])
-	d.token = tokenNone
-	return used, d.endString()
-}
-
-// stepString reads one byte of a string.
-func (d *UpdateDecoder) stepString(c byte) {
+// useToken uses the token, which is complete.
+func (d *UpdateDecoder) useToken() error {
+	kind, text := d.token.kind, d.token.text
+	d.token.kind = tokenNone
 	switch {
-	case d.escaped:
-		d.escaped = false
-	case c == '\\':
-		d.escaped = true
-	case c == '"':
-		d.inString = false
-	}
-}
-
-// endString uses a key or a string.
-func (d *UpdateDecoder) endString() error {
-	if d.expect == expectKey || d.expect == expectKeyOrEnd {
-		d.key, d.expect = string(d.text), expectColon
+	case kind == tokenContainer:
+		return d.useContainer()
+	case d.expect == expectKey || d.expect == expectKeyOrEnd:
+		d.key, d.expect = string(text), expectColon
 		return nil
+	case kind == tokenString:
+		text = fmt.Appendf(nil, `"%s"`, text)
 	}
-	quoted := fmt.Appendf(nil, `"%s"`, d.text)
-	if !d.truncated && !gjson.ValidBytes(quoted) {
+	isLongString := kind == tokenString && d.token.truncated // it is not used, so that its end may be missing
+	if !isLongString && (d.token.truncated || !gjson.ValidBytes(text)) {
 		return errInvalidJSON
 	}
-	return d.useScalar(gjson.ParseBytes(quoted))
-}
-
-// continueScalar reads a number or a literal up to the byte that follows it.
-func (d *UpdateDecoder) continueScalar(piece []byte) (used int, err error) {
-	for used < len(piece) && !isDelimiter(piece[used]) {
-		used++
-	}
-	d.keep(piece[:used])
-	if used == len(piece) {
-		return used, nil
-	}
-	d.token = tokenNone
-	if d.truncated || !gjson.ValidBytes(d.text) {
-		return used, errInvalidJSON
-	}
-	return used, d.useScalar(gjson.ParseBytes(d.text))
-}
-
-// isDelimiter reports whether a byte ends a number or a literal.
-func isDelimiter(c byte) bool {
-	switch c {
-	case ',', ':', '{', '}', '[', ']', '"', ' ', '\t', '\r', '\n':
-		return true
-	}
-	return false
+	return d.useScalar(gjson.ParseBytes(text))
 }
 
 // useScalar uses a string, a number or a literal that is a value of the present level.
@@ -357,42 +279,20 @@
 	return nil
 }
 
-// continueContainer reads an object or an array up to its closing bracket.
-func (d *UpdateDecoder) continueContainer(piece []byte) (used int, err error) {
-	for used < len(piece) && d.nesting > 0 {
-		d.stepContainer(piece[used])
-		used++
-	}
-	d.keep(piece[:used])
-	if d.nesting > 0 {
-		return used, nil
-	}
-	d.token, d.expect = tokenNone, expectCommaOrEnd
+// useContainer uses an object or an array that was read as a whole.
+func (d *UpdateDecoder) useContainer() error {
+	d.expect = expectCommaOrEnd
 	if d.level != levelWorkers {
-		return used, nil
+		return nil
 	}
-	if d.truncated {
+	if d.token.truncated {
 		d.addError(fmt.Errorf("%w: a member of more than %d bytes", ErrConfig, maxWorkerText))
-		return used, nil
-	}
-	if !gjson.ValidBytes(d.text) {
-		return used, errInvalidJSON
+		return nil
 	}
-	return used, d.addWorker(gjson.ParseBytes(d.text))
-}
-
-// stepContainer reads one byte of an object or an array that is read as a whole.
-func (d *UpdateDecoder) stepContainer(c byte) {
-	switch {
-	case d.inString:
-		d.stepString(c)
-	case c == '"':
-		d.inString = true
-	case c == '{' || c == '[':
-		d.nesting++
-	case c == '}' || c == ']':
-		d.nesting--
+	if !gjson.ValidBytes(d.token.text) {
+		return errInvalidJSON
 	}
+	return d.addWorker(gjson.ParseBytes(d.token.text))
 }
 
 // addWorker adds a worker's entry to the event, or an error if the entry is invalid.
--- a/internal/config/updatedecoder_test.go
+++ b/internal/config/updatedecoder_test.go
@@ -131,8 +131,8 @@
 		t.Fatal(err)
 	}
 	for _, piece := range []string{`"` + strings.Repeat("x", maxWorkerText), `","y":[` + strings.Repeat("1,", maxWorkerText)} {
-		if err := decoder.Write([]byte(piece)); err != nil || cap(decoder.text) > 2*maxTokenText {
-			t.Errorf("a value that is not used: %d bytes kept, error %v; want at most %d and no error", cap(decoder.text), err, 2*maxTokenText)
+		if err := decoder.Write([]byte(piece)); err != nil || cap(decoder.token.text) > 2*maxTokenText {
+			t.Errorf("a value that is not used: %d bytes kept, error %v; want at most %d and no error", cap(decoder.token.text), err, 2*maxTokenText)
 		}
 	}
 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -58,7 +58,7 @@
 	startTimes startTimes // of the workers, on the clock of the loop
 
 	startedAt      int64 // time of the first dial in microseconds, 0 before it
-	heardAt        int64 // time in microseconds at which an event was last read or a poll was answered, 0 for never
+	respondedAt    int64 // time in microseconds at which an event was last read or a poll was answered, 0 for never
 	invalidAnswers int   // invalid answers since then
 	counts         Counts
 
@@ -92,7 +92,7 @@
 	next := &pollConn{follower: f}
 	conn, err := f.loop.Dial(f.address, f.dialTimeoutUs, next)
 	if err != nil {
-		f.log.Warn("discovery unreachable", "unheard_us", f.Unheard(), "err", err)
+		f.log.Warn("discovery unreachable", "staleness_us", f.Staleness(), "err", err)
 		f.restartIn(redialDelay)
 		return
 	}
@@ -148,7 +148,7 @@
 // stays open if enough descriptors are free. If there are more than maxLatePolls, the oldest one is closed.
 func (f *Follower) pollLate() {
 	f.counts.Late++
-	f.log.Warn("discovery timed out", "cursor", f.cursor, "late_polls", len(f.late)+1, "unheard_us", f.Unheard())
+	f.log.Warn("discovery timed out", "cursor", f.cursor, "late_polls", len(f.late)+1, "staleness_us", f.Staleness())
 	if f.loop.FreeDescriptors() < latePollMinDescriptors {
 		f.dropLate()
 		f.restartIn(0)
@@ -216,7 +216,7 @@
 // the shards that the poll named and that are still assigned.
 func (f *Follower) endPoll(p *pollConn, cursor int64) {
 	f.hasResponse = true
-	f.heard()
+	f.recordResponse()
 	f.Apply(config.Update{Cursor: cursor}, false)
 	if f.assignment.endPoll(p.named) {
 		f.publishAssignment()
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -274,13 +274,13 @@
 }
 
 // followScript starts a follower of a scripted discovery. stop ends it.
-func followScript(t *testing.T) (discovery *scriptedDiscovery, dispatcher *dispatch.Dispatcher, follower *Follower, stop func()) {
+func followScript(t *testing.T) (discovery *scriptedDiscovery, dispatcher *dispatch.Dispatcher, stop func()) {
 	t.Helper()
 	discovery = newScriptedDiscovery(t)
 	loop, pool, dispatcher := newPool(t)
-	follower = NewFollower(loop, dispatcher, pool, discovery.listener.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
+	follower := NewFollower(loop, dispatcher, pool, discovery.listener.Addr().String(), 1_000_000, slog.New(slog.DiscardHandler))
 	follower.Start()
-	return discovery, dispatcher, follower, runLoop(t, loop, pool, dispatcher)
+	return discovery, dispatcher, runLoop(t, loop, pool, dispatcher)
 }
 
 // Guards against an answer that is refused for its length and asked for again for good (review/9), in both codings.
@@ -298,7 +298,7 @@
 		"content-length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
 		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked.String() + "0\r\n\r\n",
 	} {
-		discovery, dispatcher, _, stop := followScript(t)
+		discovery, dispatcher, stop := followScript(t)
 		discovery.respond(t, "resume=0&", response, false)
 		discovery.respond(t, fmt.Sprintf("resume=%d&", events), "", false)
 		stop()
@@ -313,7 +313,7 @@
 func TestEventsOfIncompleteAnswerAreApplied(t *testing.T) {
 	body := longAnswer(3, 3_000)
 	cut := strings.Index(body, `"cursor":3,"nodes"`) + 100
-	discovery, dispatcher, _, stop := followScript(t)
+	discovery, dispatcher, stop := followScript(t)
 	discovery.respond(t, "resume=0&", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut]), true)
 	discovery.respond(t, "resume=2&", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut]), false)
 	discovery.respond(t, "resume=2&", "", false)
@@ -324,7 +324,7 @@
 	}
 }
 
-// An invalid answer is asked for again less and less often, until discovery is heard. A connection that fails is not.
+// An invalid answer is asked for again less and less often, until discovery responds. A connection that fails is not.
 func TestInvalidAnswersAreAskedForLessOften(t *testing.T) {
 	loop, pool, dispatcher := newPool(t)
 	defer loop.Close()
@@ -338,9 +338,9 @@
 	if got := follower.redialDelayAfter(eventloop.ErrTimeout); got != redialDelay {
 		t.Errorf("delay after a connection that failed: got %d us, want %d", got, redialDelay)
 	}
-	follower.heard()
+	follower.recordResponse()
 	if got := follower.redialDelayAfter(&StatusError{Status: 503}); got != redialDelay {
-		t.Errorf("delay after the first invalid answer since discovery was heard: got %d us, want %d", got, redialDelay)
+		t.Errorf("delay after the first invalid answer since a valid answer: got %d us, want %d", got, redialDelay)
 	}
 	if got := follower.Counts(); got.Invalid != 6 {
 		t.Errorf("got %d invalid answers, want 6", got.Invalid)
--- a/internal/discovery/poll.go
+++ b/internal/discovery/poll.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if !errors.Is(err, eventloop.ErrEOF) {
-		f.log.Warn("discovery connection failed", "cursor", f.cursor, "unheard_us", f.Unheard(), "err", err)
+		f.log.Warn("discovery connection failed", "cursor", f.cursor, "staleness_us", f.Staleness(), "err", err)
 	}
 	f.restartIn(f.redialDelayAfter(err))
 }
@@ -97,7 +97,7 @@
 		f.log.Warn("invalid worker entry skipped", "err", err)
 	}
 	f.Apply(config.Update{Events: []config.Event{event}}, false)
-	f.heard()
+	f.recordResponse()
 	if !p.isLate() {
 		f.awaitProgress()
 	}
--- a/internal/discovery/heard.go
+++ b/internal/discovery/staleness.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// unheardAfter is the time without an event or an answer after which the next one is logged.
-	unheardAfter = 3 * second
+	// staleAfter is the time without an event or an answer after which the next one is logged.
+	staleAfter = 3 * second
 	// maxRedialDelay is the maximum delay before the next dial after invalid answers. The delay doubles with each of them, since
 	// the next poll asks for the same events.
 	maxRedialDelay = 500 * millisecond
@@ -23,16 +23,16 @@
 // Counts returns the counts of polls.
 func (f *Follower) Counts() Counts { return f.counts }
 
-// Unheard returns the time in microseconds since an event was last read or a poll was answered, or since the first dial if
+// Staleness returns the time in microseconds since an event was last read or a poll was answered, or since the first dial if
 // neither has happened.
-func (f *Follower) Unheard() int64 { return f.loop.Now() - max(f.heardAt, f.startedAt) }
+func (f *Follower) Staleness() int64 { return f.loop.Now() - max(f.respondedAt, f.startedAt) }
 
-// heard records that an event was read, or that a poll was answered.
-func (f *Follower) heard() {
-	if unheard := f.Unheard(); f.heardAt > 0 && unheard > unheardAfter {
-		f.log.Info("discovery heard again", "cursor", f.cursor, "unheard_us", unheard)
+// recordResponse records that an event was read, or that a poll was answered.
+func (f *Follower) recordResponse() {
+	if staleness := f.Staleness(); f.respondedAt > 0 && staleness > staleAfter {
+		f.log.Info("discovery recovered", "cursor", f.cursor, "staleness_us", staleness)
 	}
-	f.heardAt, f.invalidAnswers = f.loop.Now(), 0
+	f.respondedAt, f.invalidAnswers = f.loop.Now(), 0
 }
 
 // redialDelayAfter returns the delay in microseconds before the next dial after a connection ended with err.
