--- a/test/delivery/restart_faults_test.go
+++ b/test/delivery/restart_faults_test.go
@@ -17,7 +17,7 @@
 func (s *restartScenario) endTasks() {
 	random := rand.New(rand.NewPCG(s.seed, 60))
 	for s.sleep(6*time.Millisecond) && !s.isCalm() {
-		w := s.workers[random.IntN(workerCount)]
+		w := s.workers[random.IntN(len(s.workers))]
 		if running := s.attempts.Running(w.Name); len(running) > 0 {
 			s.endTask(w, running[random.IntN(len(running))])
 		}
@@ -38,7 +38,7 @@
 	random := rand.New(rand.NewPCG(s.seed, 70))
 	longestCut := s.drawLongestCut()
 	for s.sleep(time.Duration(random.Int64N(int64(150*time.Millisecond)))) && !s.isCalm() {
-		i := random.IntN(workerCount)
+		i := random.IntN(len(s.workers))
 		s.mu.Lock()
 		path := s.path
 		s.mu.Unlock()
--- a/test/delivery/restart_test.go
+++ b/test/delivery/restart_test.go
@@ -83,11 +83,18 @@
 	return h == confirmsAll || h == confirmsHalf && strings.Contains(evenDigits, requestID[len(requestID)-1:])
 }
 
+// scenarioSize is the number of workers, and of the orchestrator's descriptors.
+type scenarioSize struct{ workers, sockets int }
+
+// usualSize has more descriptors than are needed.
+var usualSize = scenarioSize{workers: workerCount, sockets: 256}
+
 // restartScenario is one run of a seed.
 type restartScenario struct {
 	t        *testing.T
 	random   *rand.Rand // used by the main goroutine
 	seed     uint64
+	size     scenarioSize
 	process  testbed.Process
 	config   string
 	workers  []*testbed.Worker
@@ -138,7 +145,23 @@
 }
 
 // TestRestarts checks that each completion reaches the client across kills, shutdowns and ends of connections.
-func TestRestarts(t *testing.T) {
+func TestRestarts(t *testing.T) { playRestarts(t, usualSize, *firstFlag, *seedsFlag) }
+
+// TestRestartsWithFewDescriptors plays the scenarios of TestRestarts with more workers than descriptors.
+func TestRestartsWithFewDescriptors(t *testing.T) {
+	const reservedAndClients = 32 + 8
+	playRestarts(t, scenarioSize{48, reservedAndClients + 24}, *firstFlag, max(1, *seedsFlag/2))
+}
+
+// TestWorkerRestartsWithinCut plays a scenario in which the process of a worker is replaced while the path to it is cut, and
+// discovery never tells.
+func TestWorkerRestartsWithinCut(t *testing.T) {
+	const seed = 7059
+	playRestarts(t, usualSize, seed, 1)
+}
+
+func playRestarts(t *testing.T, size scenarioSize, first uint64, seeds int) {
+	t.Helper()
 	directory := t.TempDir()
 	binary, err := testbed.BuildProgram(directory)
 	if err != nil {
@@ -150,18 +173,19 @@
 	}
 	slots := make(chan struct{}, *lanesFlag)
 	var scenarios sync.WaitGroup
-	for i := range *seedsFlag {
+	for i := range seeds {
 		slots <- struct{}{}
 		scenarios.Go(func() {
 			defer func() { <-slots }()
-			t.Run(fmt.Sprint("seed ", *firstFlag+uint64(i)), func(t *testing.T) { runRestarts(t, binary, launcher, *firstFlag+uint64(i)) })
+			seed := first + uint64(i)
+			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runRestarts(t, binary, launcher, seed, size) })
 		})
 	}
 	scenarios.Wait()
 }
 
-func runRestarts(t *testing.T, binary, launcher string, seed uint64) {
-	s := newRestartScenario(t, seed)
+func runRestarts(t *testing.T, binary, launcher string, seed uint64, size scenarioSize) {
+	s := newRestartScenario(t, seed, size)
 	s.confirms = []confirmationHabit{confirmsNone, confirmsAll, confirmsHalf}[s.random.IntN(3)]
 	isDrawn := func(stream uint64) bool { return rand.New(rand.NewPCG(seed, stream)).IntN(2) == 0 }
 	s.sendsNotices, s.handsOverGone = isDrawn(87), isDrawn(88)
@@ -172,8 +196,8 @@
 	s.run()
 }
 
-func newRestartScenario(t *testing.T, seed uint64) *restartScenario {
-	return &restartScenario{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 50)), attempts: testbed.NewAttemptLog(),
+func newRestartScenario(t *testing.T, seed uint64, size scenarioSize) *restartScenario {
+	return &restartScenario{t: t, seed: seed, size: size, random: rand.New(rand.NewPCG(seed, 50)), attempts: testbed.NewAttemptLog(),
 		done: make(chan struct{}), calm: make(chan struct{}), discovery: testbed.NewDiscovery(t), tasks: map[string]*task{}}
 }
 
@@ -187,7 +211,7 @@
 
 func (s *restartScenario) startWorkers() {
 	var entries []string
-	for i := range workerCount {
+	for i := range s.size.workers {
 		w := testbed.NewWorker(s.t, fmt.Sprint("s-", i))
 		w.Kind = "node-64"
 		w.RecordAttempts(s.attempts)
@@ -226,7 +250,7 @@
 // start starts the orchestrator with the current list, and a path to it for the client.
 func (s *restartScenario) start(life int) {
 	channel := s.discovery.Server.Listener.Addr().String()
-	text := testbed.Deployment{Orchestrators: 1, Deadline: deadline, Sockets: 256, MemoryMB: 64}.Config(0, s.listenAddress(), "", channel,
+	text := testbed.Deployment{Orchestrators: 1, Deadline: deadline, Sockets: s.size.sockets, MemoryMB: 64}.Config(0, s.listenAddress(), "", channel,
 		s.seed<<8+uint64(life), s.discovery)
 	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/test/delivery/termination_test.go
+++ b/test/delivery/termination_test.go
@@ -36,7 +36,7 @@
 }
 
 func runTermination(t *testing.T, binary string, habit confirmationHabit) {
-	s := newRestartScenario(t, uint64(habit)+1)
+	s := newRestartScenario(t, uint64(habit)+1, usualSize)
 	s.confirms = habit
 	s.startWorkers()
 	s.configure(binary)
