Let a replaced stand-in worker report nothing about the tasks of the one before

By the protocol "a dying process resets its connections and cuts its tasks": its successor knows none of them.

Worker.EndTask and SendTaskNotice check under one lock that the present process runs the task.

--- a/internal/testbed/worker.go
+++ b/internal/testbed/worker.go
@@ -267,10 +267,13 @@
 	}
 }
 
-// SendTaskNotice sends a notice about a running task on every open connection.
+// SendTaskNotice sends a notice about a task on every open connection, unless the present process of the worker does not run it.
 func (w *Worker) SendTaskNotice(requestID string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.running[requestID] {
+		return
+	}
 	for conn := range w.connections {
 		Send(conn, Line{Verb: "NOTICE", Tag: requestID, Opts: map[string]string{"note": "cpu", "value": "0.5"}})
 	}
--- a/internal/testbed/worker_reports.go
+++ b/internal/testbed/worker_reports.go
@@ -23,6 +23,11 @@
 func (w *Worker) report(conn net.Conn, line Line) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reportLocked(conn, line)
+}
+
+// reportLocked is report for a caller that holds mu.
+func (w *Worker) reportLocked(conn net.Conn, line Line) {
 	if !w.connections[conn] {
 		for other := range w.connections {
 			conn = other
@@ -46,17 +51,29 @@
 // EvictTask ends a running task as a draining worker does and reports the end like SendFinish.
 func (w *Worker) EvictTask(requestID string) { w.sendEnd(requestID, drainedLine(requestID)) }
 
+// EndTask completes a task like SendFinish, unless the present process of the worker does not run it: the process that takes the
+// place of another knows nothing of its tasks.
+func (w *Worker) EndTask(requestID string, rc int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[requestID] {
+		w.end(requestID, CodeLine("FINISH", requestID, rc))
+	}
+}
+
 // sendEnd ends a running task and reports the end with the given message.
 func (w *Worker) sendEnd(requestID string, line Line) {
-	w.attempts.ended(w.Name, requestID)
 	w.mu.Lock()
-	conn := w.offerConnections[requestID]
+	defer w.mu.Unlock()
+	w.end(requestID, line)
+}
+
+// end ends a running task and reports the end with the given message. The caller holds mu.
+func (w *Worker) end(requestID string, line Line) {
+	w.attempts.ended(w.Name, requestID)
 	delete(w.running, requestID)
-	w.mu.Unlock()
-	w.report(conn, line)
-	w.mu.Lock()
+	w.reportLocked(w.offerConnections[requestID], line)
 	w.unreported = append(w.unreported, line)
-	w.mu.Unlock()
 }
 
 // ForgetReports drops the reports of ended tasks that the worker would send on its next connection.
--- a/test/delivery/restart_faults_test.go
+++ b/test/delivery/restart_faults_test.go
@@ -30,7 +30,7 @@
 		task.endedAt = time.Now()
 	}
 	s.mu.Unlock()
-	w.SendFinish(id, codeEnded)
+	w.EndTask(id, codeEnded)
 }
 
 // injectFaults injects faults until the scenario is calm.
